--- /dev/null
+++ b/eiderstep/decide.py
@@ -0,0 +1,606 @@
+"""Every decision of the controller.  Its types, events and actions: eiderstep/interface.py.
+
+The ordinary path is the loss system of arXiv 2202.02419, one for each own trunk group and class,
+with our companion for routes (docs/design.md).  The rest are guards, for when things fail.
+Read handle() first, then offered(), choose() and send().
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from eiderstep import interface as io
+
+SECOND = 1_000_000_000
+MS = 1_000_000
+
+# The loss systems and the price
+WINDOW_HOLDS = 3.0  # holding times; older gaps say little of the present traffic
+WINDOW_NOTES = 256  # gaps; bounds the work of one test
+MARGIN_WIDTHS = 1.0  # widest classes; circuits that must be free before the price is nought
+EXPLORE_BASE = 20.0  # f(0); a refused class is tried once in so many calls, so a bar once set still holds
+EXPLORE_POWER = 0.6  # 1 - epsilon of the paper's f(n) = exp(n^(1 - epsilon))
+ALPHA_HALF = 2.0  # holding times in which alpha halves: traffic drifts, so old exploring counts less
+
+# The companion
+RESERVE_FLOOR = 1.0  # widest classes kept from transit and alternates even with no direct blocking
+RESERVE_ROOT = 1.0  # share of the root of the group's size by which the reserve can grow
+RESERVE_BLOCKS = 3.0  # recent direct blockings at which the reserve has grown by 63%
+BLOCK_HALF = 0.3  # holding times in which half the direct blockings are forgotten
+
+# Processors
+WAIT_EASY = 0.25  # share of the shortest aim; a processor's wait up to here sheds nothing
+WAIT_FULL = 0.80  # share of the shortest aim; from here on all but trial calls are shed
+ALTERNATE_FACTOR = 0.5  # alternates cost work at one more processor: they stop at this share of the waits
+EVIDENCE_LIFE = 1 * SECOND  # in which word of a processor's wait loses 63% of its weight
+LAG_GAIN, VAR_GAIN = 1 / 8, 1 / 4  # RFC 6298
+RTO_VARS = 4.0  # RFC 6298
+RTO_FLOOR = 1.0  # shortest aims; processors queue longer than any network's round trip
+SHED_CAP = 0.97  # share; some calls always go, to learn that the trouble is over
+
+# Silence
+SILENT_SENDS = 2  # sends past their time-out, with no answer between, that open the breaker
+BACKOFF_START = 1 * SECOND
+BACKOFF_CAP = 8 * SECOND
+BACKOFF_JITTER = 0.25  # share
+
+# Cold offices
+COLD_CAUTION = 0.5  # share of this controller's part of the budget that is used
+COLD_UNKNOWN = 2.0  # sends in a window to a cold office whose capacity nobody has told
+
+LIST_RETRY = 2 * SECOND
+NOTE_GAP = 5 * SECOND  # between two log lines about one thing
+
+
+class Fading:
+    """A count that halves in a fixed time."""
+
+    __slots__ = ("half", "value", "at")
+
+    def __init__(self, half: float) -> None:
+        self.half, self.value, self.at = max(half, 1.0), 0.0, 0
+
+    def read(self, now: int) -> float:
+        """The count as it stands."""
+        self.value *= 0.5 ** ((now - self.at) / self.half)
+        self.at = now
+        return self.value
+
+    def add(self, now: int, amount: float = 1.0) -> None:
+        """Count one more."""
+        self.value = self.read(now) + amount
+
+
+class LossSystem:
+    """The calls of one class on one own group, seen at each arrival as the paper sees its servers."""
+
+    __slots__ = ("life", "notes", "last", "standing", "base", "left", "epoch", "alpha")
+
+    def __init__(self, mean_hold: int) -> None:
+        self.life = int(WINDOW_HOLDS * mean_hold)
+        self.notes: deque[tuple[int, float, int, int]] = deque(maxlen=WINDOW_NOTES)
+        self.last: int | None = None
+        self.standing = self.base = self.left = self.epoch = 0
+        self.alpha = Fading(ALPHA_HALF * mean_hold)
+
+    def arrive(self, now: int) -> None:
+        """Note the gap since the last arrival, who survived it and who departed in it."""
+        if self.last is not None and now > self.last and self.base + self.left > 0:
+            self.notes.append((now, (now - self.last) / SECOND, self.base, self.left))
+        self.last, self.base, self.left = now, self.standing, 0
+        self.epoch += 1
+        while self.notes and self.notes[0][0] < now - self.life:
+            self.notes.popleft()
+
+    def began(self) -> int:
+        """A call stands; the epoch returned goes with it."""
+        self.standing += 1
+        return self.epoch
+
+    def ended(self, epoch: int, released: bool) -> None:
+        """A call ended.
+
+        Danger: a cut is no release; taken for one, mass cuts look like short calls and every class
+        passes while redials refill the group.  A cut call is censored: it leaves the sums unseen.
+        """
+        self.standing -= 1
+        if epoch < self.epoch:
+            self.base -= 1
+            self.left += released
+
+    def knows(self) -> bool:
+        """Whether the window holds a release."""
+        return any(note[3] for note in self.notes)
+
+    def beats(self, bar: float) -> bool:
+        """The likelihood test: is the release rate above the bar (per second)?"""
+        drive = hold = 0.0
+        for _, gap, survivors, departures in self.notes:
+            if departures:
+                x = bar * gap
+                drive += departures * gap / math.expm1(x) if x < 700 else 0.0
+            hold += survivors * gap
+        return drive > hold
+
+
+class Group:
+    """One own trunk group, or one pool of agents."""
+
+    __slots__ = ("free", "size", "systems", "blocks")
+
+    def __init__(self, classes: tuple[io.CallClass, ...]) -> None:
+        self.free: int | None = None
+        self.size = 0
+        self.systems = [LossSystem(c.mean_hold) for c in classes]
+        self.blocks = Fading(BLOCK_HALF * max(c.mean_hold for c in classes))
+
+    def told(self, report: io.LoadReport) -> None:
+        """Only reports say what is free: the group is shared with the far end."""
+        if report.free is not None:
+            self.free = report.free
+        if report.size is not None:
+            self.size = report.size
+
+    def reserve(self, now: int, widest: int) -> float:
+        """Circuits kept from transit and alternates; grows as direct calls are blocked."""
+        grown = 1.0 - math.exp(-self.blocks.read(now) / RESERVE_BLOCKS)
+        return RESERVE_FLOOR * widest + grown * RESERVE_ROOT * math.sqrt(self.size)
+
+
+class Office:
+    """One processor: what the list, its answers and its silence say of it."""
+
+    __slots__ = (
+        "name", "number", "state", "started", "srtt", "var", "base", "excess", "excess_at",
+        "wait", "wait_at", "rate", "reduce", "since", "silent", "opened", "retry_at", "backoff", "trial",
+        "sent", "heard_at",
+    )  # fmt: skip
+
+    def __init__(self, entry: io.OfficeEntry) -> None:
+        self.name, self.number = entry.office, entry.number
+        self.state, self.started = entry.state, entry.started
+        self.srtt = self.var = self.base = self.excess = self.wait = self.reduce = 0.0
+        self.rate: float | None = None
+        self.excess_at = self.wait_at = self.heard_at = -(10**18)
+        self.since = 0  # own sends since the last report
+        self.silent = 0
+        self.opened = False
+        self.retry_at = self.backoff = 0
+        self.trial: str | None = None
+        self.sent: deque[int] = deque()  # times of own sends while it is cold
+
+    def answered(self, now: int) -> None:
+        """Any answer closes the breaker."""
+        self.silent, self.opened, self.backoff, self.trial = 0, False, 0, None
+        self.heard_at = now
+
+    def timed(self, now: int, took: int) -> None:
+        """Learn a set-up's response time (RFC 6298) and how far it lies above the quickest."""
+        if self.srtt == 0.0:
+            self.srtt, self.var, self.base = float(took), took / 2, float(took)
+        self.var += VAR_GAIN * (abs(took - self.srtt) - self.var)
+        self.srtt += LAG_GAIN * (took - self.srtt)
+        self.base = min(self.base, took)
+        self.excess, self.excess_at = took - self.base, now
+
+    def silence(self, now: int, rng: Random) -> bool:
+        """One more send went unanswered; tells whether that opened the breaker."""
+        self.silent += 1
+        if self.silent < SILENT_SENDS and not self.opened:
+            return False
+        fresh = not self.opened
+        self.backoff = min(max(2 * self.backoff, BACKOFF_START), BACKOFF_CAP)
+        self.retry_at = now + int(self.backoff * (1 + BACKOFF_JITTER * rng.random()))
+        self.opened, self.trial = True, None
+        return fresh
+
+    def report(self, now: int, report: io.LoadReport) -> None:
+        """Word of the processor's load, late and noisy."""
+        wait: float | None = report.wait
+        if report.max_rate is not None:
+            self.rate = report.max_rate
+        if wait is None and report.waiting is not None and self.rate:
+            wait = report.waiting / self.rate * SECOND
+        if report.reduce is not None:
+            self.reduce = report.reduce
+        if wait is not None or report.reduce is not None:
+            self.wait, self.wait_at, self.since = wait or 0.0, now, 0
+
+    def delay(self, now: int) -> float:
+        """Expected wait at its processor (ns): the fresher of report and own evidence weighs more."""
+        told = self.wait * math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
+        if self.rate:
+            told += self.since / self.rate * SECOND * math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
+        seen = self.excess * math.exp(-(now - self.excess_at) / EVIDENCE_LIFE)
+        return max(told, seen)
+
+
+class Call:
+    """One call that this controller owes an answer, or that stands."""
+
+    __slots__ = (
+        "name", "cls", "dest", "width", "expires", "transit", "was_cut", "via", "legs", "out", "tried",
+        "not_before", "group", "epoch", "sent_at", "office",
+    )  # fmt: skip
+
+    def __init__(self, offer: io.CallOffered) -> None:
+        self.name, self.cls, self.dest, self.width = offer.call, offer.class_no, offer.dest, offer.width
+        self.expires, self.transit, self.via = offer.expires, offer.transit, offer.hint
+        self.was_cut = offer.was_cut
+        self.legs = 0
+        self.out = False
+        self.tried: list[int] = []
+        self.not_before = 0
+        self.group: int | None = None
+        self.epoch: int | None = None  # set once it stands
+        self.sent_at = 0
+        self.office = ""
+
+
+class Controller:
+    """The decisions of one call server."""
+
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        if not settings.classes:
+            raise ValueError("settings name no classes of calls")
+        if any(c.width < 1 or c.worth < 0 or c.mean_hold <= 0 for c in settings.classes):
+            raise ValueError("each class needs a width, a worth and a mean holding time")
+        self.settings, self.rng, self.now = settings, Random(seed), 0
+        self.classes = settings.classes
+        self.widest = max(c.width for c in self.classes)
+        value = [c.worth / (c.width * c.mean_hold / SECOND) for c in self.classes]
+        self.top_value = max(value)
+        self.top_class = value.index(self.top_value)
+        self.aim = min(c.aim for c in self.classes)
+        self.seen = [Fading(5 * SECOND) for _ in self.classes]
+        self.offices: dict[str, Office] = {}
+        self.by_number: dict[int, str] = {}
+        self.groups: dict[int, Group] = {}
+        self.calls: dict[str, Call] = {}
+        self.timers: dict[int, Callable[[], None]] = {}
+        self.token = 0
+        self.noted: dict[str, int] = {}
+        self.own_down_until = 0
+        self.out: list[io.Action] = []
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            io.OfficeList: self.listed,
+            io.CallOffered: self.offered,
+            io.CallGone: lambda e: self.gone(e.call),
+            io.CallStands: self.stands,
+            io.AttemptEnded: self.ended,
+            io.OfficeHeard: self.heard,
+            io.TimerDue: self.due,
+        }
+
+    def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
+        """Take the events of one moment, in order; return what to do."""
+        self.now, self.out = now, []
+        for event in events:
+            handler = self.handlers.get(type(event))
+            if handler is not None:
+                handler(event)
+        return self.out
+
+    # -- timers and log lines
+
+    def after(self, due: int, what: Callable[[], None]) -> None:
+        self.token += 1
+        self.timers[self.token] = what
+        self.out.append(io.SetTimer(due, self.token))
+
+    def due(self, event: io.TimerDue) -> None:
+        what = self.timers.pop(event.token, None)
+        if what is not None:
+            what()
+
+    def note(self, kind: str, text: str) -> None:
+        """A line for the people on call, at most one of a kind in NOTE_GAP."""
+        if self.now - self.noted.get(kind, -NOTE_GAP) >= NOTE_GAP:
+            self.noted[kind] = self.now
+            self.out.append(io.Note(text))
+
+    # -- the list
+
+    def listed(self, event: io.OfficeList) -> None:
+        s = self.settings
+        if event.kind is io.ListKind.FAILED:
+            if s.list_on_request:
+                self.after(self.now + LIST_RETRY, lambda: self.out.append(io.Subscribe()))
+            return
+        if event.kind is io.ListKind.REMEMBERED and s.list_on_request:
+            self.out.append(io.Subscribe())
+        named = {entry.office for entry in event.entries}
+        for entry in event.entries:
+            office = self.offices.get(entry.office)
+            if office is None or (entry.started or 0) > office.started:
+                office = self.offices[entry.office] = Office(entry)
+            elif office.state is io.OfficeState.UP and entry.state is not io.OfficeState.UP:
+                self.note(f"drain {entry.number}", f"office {entry.number} drains or is gone")
+            office.state = entry.state
+        if event.kind is not io.ListKind.CHANGES:
+            for office in self.offices.values():
+                if office.name not in named:
+                    office.state = io.OfficeState.GONE
+        self.by_number = {}
+        for office in sorted(self.offices.values(), key=lambda o: o.started):
+            if office.state is io.OfficeState.UP:
+                self.by_number[office.number] = office.name
+                if office.number != s.own_number:
+                    self.groups.setdefault(office.number, Group(self.classes))
+
+    # -- what the offices tell
+
+    def heard(self, event: io.OfficeHeard) -> None:
+        office = self.offices.get(event.office)
+        if office is None:
+            return
+        self.learn(office, event.report)
+        if event.answered and not event.unasked:
+            office.answered(self.now)
+
+    def learn(self, office: Office, report: io.LoadReport | None) -> None:
+        if report is None:
+            return
+        group = self.groups.get(office.number)
+        if group is not None:
+            group.told(report)
+        office.report(self.now, report)
+
+    # -- calls
+
+    def offered(self, event: io.CallOffered) -> None:
+        if event.call in self.calls or not 0 <= event.class_no < len(self.classes):
+            self.out.append(io.Refuse(event.call))
+            return
+        call = self.calls[event.call] = Call(event)
+        self.seen[call.cls].add(self.now)
+        self.after(call.expires, lambda: self.expire(call.name))
+        self.choose(call)
+
+    def expire(self, name: str) -> None:
+        """Rule 1: an answer when the caller's time is up, whatever is still out."""
+        call = self.calls.get(name)
+        if call is not None and call.epoch is None:
+            self.finish(call, io.Abandon(name))
+
+    def finish(self, call: Call, answer: io.Action | None) -> None:
+        if answer is not None:
+            self.out.append(answer)
+        self.calls.pop(call.name, None)
+
+    def gone(self, name: str) -> None:
+        call = self.calls.get(name)
+        if call is not None:
+            self.finish(call, None)
+
+    def refuse(self, call: Call) -> None:
+        """Turn the call away; a redial costs work, so the caller is asked to stay away as long as it may."""
+        pause = self.settings.max_pause if self.settings.may_pause and not call.transit else 0
+        self.finish(call, io.Refuse(call.name, pause))
+
+    def shed(self, office: Office | None, factor: float = 1.0) -> float:
+        """Share of set-ups to hold back from a processor, by its wait and by what it asks."""
+        if office is None:
+            return 0.0
+        easy, full = WAIT_EASY * self.aim * factor, WAIT_FULL * self.aim * factor
+        by_wait = (office.delay(self.now) - easy) / (full - easy)
+        asked = office.reduce * math.exp(-(self.now - office.wait_at) / (2 * EVIDENCE_LIFE)) / factor
+        return min(max(by_wait, asked, 0.0), SHED_CAP)
+
+    def own_delay(self) -> float:
+        """The own processor is on every path: what all paths wait is its wait."""
+        fresh = [
+            o.excess * math.exp(-(self.now - o.excess_at) / EVIDENCE_LIFE)
+            for o in self.offices.values()
+            if self.now - o.excess_at < EVIDENCE_LIFE
+        ]
+        return min(fresh) if len(fresh) > 1 else 0.0
+
+    def held_back(self, call: Call, share: float) -> bool:
+        """Thin the offered calls by a share, least worth first."""
+        if share <= 0.0:
+            return False
+        worth = self.classes[call.cls].worth
+        total = sum(s.read(self.now) for s in self.seen)
+        below = sum(s.value for c, s in zip(self.classes, self.seen, strict=True) if c.worth < worth)
+        level = sum(s.value for c, s in zip(self.classes, self.seen, strict=True) if c.worth == worth)
+        return self.rng.random() < (share * total - below) / max(level, 1e-9)
+
+    def admitted(self, call: Call, number: int) -> bool:
+        """The design's test on one own group, with room for the call."""
+        group, system = self.groups[number], self.groups[number].systems[call.cls]
+        if group.free is None:
+            return True
+        if group.free < call.width:
+            return False
+        margin = MARGIN_WIDTHS * self.widest
+        price = self.top_value * (margin + 1 - group.free) / (margin + 1)
+        if price <= 0.0 or call.cls == self.top_class or not system.knows():
+            return True
+        if system.beats(price * call.width / max(self.classes[call.cls].worth, 1e-9)):
+            return True
+        alpha = system.alpha.read(self.now)
+        if self.rng.random() * EXPLORE_BASE * math.exp(min(alpha, 1e3) ** EXPLORE_POWER) < 1.0:
+            if system.standing == 0:
+                system.alpha.add(self.now)
+            return True
+        return False
+
+    def usable(self, number: int) -> Office | None:
+        """The office of that number, if it may be sent to now."""
+        office = self.offices.get(self.by_number.get(number, ""))
+        if office is None or (office.opened and (office.trial is not None or self.now < office.retry_at)):
+            return None
+        return office
+
+    def choose(self, call: Call) -> None:
+        """Where the call goes now: direct, over one random tandem, or nowhere."""
+        if call.dest not in self.groups and not self.settings.pooled:
+            self.refuse(call)
+            return
+        share = (self.own_delay() - WAIT_EASY * self.aim) / ((WAIT_FULL - WAIT_EASY) * self.aim)
+        if not call.tried and not call.was_cut and self.held_back(call, min(share, SHED_CAP)):
+            self.refuse(call)
+            return
+        if call.dest not in call.tried and self.direct(call):
+            return
+        if call.transit or call.legs >= self.settings.attempt_cap or not self.alternate(call):
+            self.refuse(call)
+
+    def direct(self, call: Call) -> bool:
+        """Try the group to the destination itself (or the pool of first choice)."""
+        group = self.groups.get(call.dest)
+        if group is None:
+            return False
+        group.systems[call.cls].arrive(self.now)
+        office = self.usable(call.dest)
+        if office is None or self.held_back(call, self.shed(office)):
+            return False
+        if call.transit and group.free is not None:
+            if group.free - call.width < group.reserve(self.now, self.widest):
+                return False
+        if not self.admitted(call, call.dest):
+            if not call.transit:
+                group.blocks.add(self.now)
+            return False
+        return self.send(call, office)
+
+    def alternate(self, call: Call) -> bool:
+        """One random tandem whose own leg shows room beyond the reserve."""
+        pools = self.classes[call.cls].pools
+        if not self.settings.pooled:
+            office = self.usable(call.dest)
+            if office is None or self.held_back(call, self.shed(office, ALTERNATE_FACTOR)):
+                return False  # another tandem does not cure a destination in trouble
+        room = []
+        for number, group in self.groups.items():
+            if number == call.dest or number in call.tried or (pools is not None and number not in pools):
+                continue
+            office = self.usable(number)
+            if office is None or group.free is None or self.shed(office, ALTERNATE_FACTOR) > 0.0:
+                continue
+            if group.free - call.width >= group.reserve(self.now, self.widest):
+                room.append(number)
+        if not room:
+            return False
+        number = room[int(self.rng.random() * len(room))]
+        self.groups[number].systems[call.cls].arrive(self.now)
+        office = self.usable(number)
+        return office is not None and self.admitted(call, number) and self.send(call, office)
+
+    # -- the one place that sends
+
+    def cold_room(self, office: Office) -> bool:
+        """Rule 4: this controller's part of what a cold office may be sent in a window."""
+        s = self.settings
+        if not office.started or self.now - office.started >= s.cold_time:
+            return True
+        while office.sent and office.sent[0] <= self.now - s.cold_window:
+            office.sent.popleft()
+        warmth = s.cold_share + (1 - s.cold_share) * max(0, self.now - office.started) / s.cold_time
+        rates = [o.rate for o in self.offices.values() if o.rate and o.name != office.name]
+        if rates:
+            budget = s.cold_multiple * s.cold_share * min(rates) * s.cold_window / SECOND
+            slow = warmth * min(rates) * s.cold_window / SECOND
+            part = max(COLD_CAUTION * min(budget, slow) / s.controllers, 1.0)
+        else:
+            part = COLD_UNKNOWN
+        return len(office.sent) < part
+
+    def send(self, call: Call, office: Office) -> bool:
+        """Emit one set-up; the five rules are checked here and nowhere else."""
+        s = self.settings
+        if call.out or call.legs >= s.attempt_cap or call.epoch is not None:
+            return False  # rule 2
+        if office.state is not io.OfficeState.UP or office.number == s.own_number:
+            return False  # rule 3
+        if call.transit and office.number != call.dest:
+            return False
+        if not self.cold_room(office):
+            return False  # rule 4
+        if self.now < call.not_before or self.now >= call.expires:
+            return False  # rules 5 and 1
+        if office.started and self.now - office.started < s.cold_time:
+            office.sent.append(self.now)
+        group = self.groups[office.number]
+        if group.free is not None:
+            group.free -= call.width
+        call.out, call.office, call.sent_at, call.group = True, office.name, self.now, office.number
+        call.tried.append(office.number)
+        leg = call.legs
+        call.legs += 1
+        office.since += 1
+        if office.opened:
+            office.trial = call.name
+        rto = int(max(office.srtt + RTO_VARS * office.var, RTO_FLOOR * self.aim))
+        self.after(self.now + rto, lambda: self.unanswered(call, leg, office))
+        self.out.append(io.Send(call.name, office.name, call.expires))
+        return True
+
+    def unanswered(self, call: Call, leg: int, office: Office) -> None:
+        """A send is past its time-out: the office may be silent."""
+        if call.out and call.legs == leg + 1 and call.epoch is None and office.heard_at < call.sent_at:
+            if office.silence(self.now, self.rng):
+                self.note(f"silent {office.number}", f"office {office.number} is silent: no calls to it")
+
+    # -- what becomes of attempts
+
+    def stands(self, event: io.CallStands) -> None:
+        office = self.offices.get(event.office)
+        if office is not None:
+            office.answered(self.now)
+        call = self.calls.get(event.call)
+        if call is None or not call.out or call.legs != event.leg + 1:
+            return
+        if office is not None and office.number == call.dest:
+            office.timed(self.now, event.took)
+        if call.group is not None:
+            call.epoch = self.groups[call.group].systems[call.cls].began()
+
+    def ended(self, event: io.AttemptEnded) -> None:
+        office = self.offices.get(event.office)
+        silent = (io.Outcome.NO_ANSWER, io.Outcome.UNREACHABLE, io.Outcome.NOT_SENT, io.Outcome.CANCELLED)
+        if office is not None:
+            self.learn(office, event.report)
+            if event.outcome not in silent:
+                office.answered(self.now)
+            elif event.outcome is io.Outcome.UNREACHABLE and office.silence(self.now, self.rng):
+                self.note(f"unreachable {office.number}", f"office {office.number} cannot be reached")
+            elif office.trial == event.call:
+                office.trial = None
+        call = self.calls.get(event.call)
+        if call is None or call.legs != event.leg + 1:
+            return
+        if call.epoch is not None and call.group is not None:
+            released = event.outcome is io.Outcome.RELEASED
+            self.groups[call.group].systems[call.cls].ended(call.epoch, released)
+            call.epoch = None
+        call.out = False
+        if event.settled:
+            self.finish(call, None)
+            return
+        if office is not None and event.cause is io.Cause.PROCESSOR_FULL:
+            office.excess, office.excess_at = max(office.excess, 2.0 * self.aim), self.now
+        if event.outcome in (io.Outcome.NO_ANSWER, io.Outcome.CUT, io.Outcome.CANCELLED):
+            call.not_before = self.now + self.settings.release_wait
+        hopeless = (io.Cause.BEYOND_FULL, io.Cause.PROCESSOR_FULL, io.Cause.NUMBER_BUSY)
+        direct_full = event.cause in hopeless and (office is None or office.number == call.dest)
+        if self.now >= call.expires:
+            self.finish(call, io.Abandon(call.name))
+        elif call.transit or direct_full or event.cause is io.Cause.BEYOND_FULL:
+            self.refuse(call)
+        elif call.not_before > self.now:
+            if call.not_before < call.expires:
+                self.after(call.not_before, lambda: self.again(call))
+            else:
+                self.finish(call, io.Abandon(call.name))
+        else:
+            self.choose(call)
+
+    def again(self, call: Call) -> None:
+        if self.calls.get(call.name) is call and not call.out:
+            self.choose(call)
