A tandem that turned a call back rests for that destination

Also holds against tandems cut off from the destination; might hurt where a tandem's groups free up quickly.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -52,6 +52,10 @@
 COLD_CAUTION = 0.5  # share of this controller's part of the budget that is used
 COLD_UNKNOWN = 2.0  # sends in a window to a cold office whose capacity nobody has told
 
+# Tandems
+TURNED_BACK = 0.05  # holding times that a tandem rests for a destination it turned a call back from; doubles
+TURNED_BACK_CAP = 8.0  # times the first rest
+
 LIST_RETRY = 2 * SECOND
 NOTE_GAP = 5 * SECOND  # between two log lines about one thing
 
@@ -262,6 +266,7 @@
         self.by_number: dict[int, str] = {}
         self.groups: dict[int, Group] = {}
         self.calls: dict[str, Call] = {}
+        self.rests: dict[tuple[int, int], tuple[int, float]] = {}  # tandem, destination: until, length
         self.waiting: dict[int, list[Call]] = {}  # held calls by destination
         self.timers: dict[int, Callable[[], None]] = {}
         self.token = 0
@@ -523,6 +528,8 @@
             office = self.usable(number)
             if office is None or group.free is None or self.shed(office, ALTERNATE_FACTOR) > 0.0:
                 continue
+            if self.now < self.rests.get((number, call.dest), (0, 0.0))[0]:
+                continue
             if group.free - call.width >= group.reserve(self.now, self.widest):
                 room.append(number)
         if not room:
@@ -599,6 +606,8 @@
             return
         if office is not None and office.number == call.dest:
             office.timed(self.now, event.took)
+        elif office is not None:
+            self.rests.pop((office.number, call.dest), None)
         if call.group is not None:
             call.epoch = self.groups[call.group].systems[call.cls].began()
 
@@ -629,6 +638,13 @@
         if event.outcome in (io.Outcome.NO_ANSWER, io.Outcome.CUT, io.Outcome.CANCELLED):
             call.not_before = self.now + self.settings.release_wait
         hopeless = (io.Cause.BEYOND_FULL, io.Cause.PROCESSOR_FULL, io.Cause.NUMBER_BUSY)
+        if event.cause is io.Cause.TANDEM_REFUSED and office is not None:
+            # Danger: nobody tells of a tandem's own groups; tried blindly, most alternates are turned
+            # back, each for work at two processors.  Hurts where its groups free up quickly.
+            pair = (office.number, call.dest)
+            first = TURNED_BACK * self.classes[call.cls].mean_hold
+            rest = min(max(2 * self.rests.get(pair, (0, 0.0))[1], first), TURNED_BACK_CAP * first)
+            self.rests[pair] = (self.now + int(rest), rest)
         direct_full = event.cause in hopeless and (office is None or office.number == call.dest)
         if self.now >= call.expires:
             self.finish(call, io.Abandon(call.name))
