--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -578,9 +578,9 @@
         if rates:
             budget = s.cold_multiple * s.cold_share * min(rates) * s.cold_window / SECOND
             slow = warmth * min(rates) * s.cold_window / SECOND
-            part = max(COLD_CAUTION * min(budget, slow) / s.controllers, 1.0)
+            part = max(min(COLD_CAUTION * budget, slow) / s.controllers, 1.0)
         else:
-            part = COLD_UNKNOWN
+            part = COLD_UNKNOWN * warmth / s.cold_share
         return len(office.sent) < part
 
     def send(self, call: Call, office: Office) -> bool:
