--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -49,8 +49,8 @@
 BACKOFF_JITTER = 0.25  # share
 
 # Cold offices
-COLD_CAUTION = 0.5  # share of this controller's part of the budget that is used
-COLD_UNKNOWN = 2.0  # sends in a window to a cold office whose capacity nobody has told
+COLD_CAUTION = 0.8  # share of this controller's part of the budget that is used
+COLD_UNKNOWN = 4.0  # sends in a window to a cold office whose capacity nobody has told
 
 # Tandems
 TURNED_BACK = 0.05  # holding times that a tandem rests for a destination it turned a call back from; doubles
@@ -576,9 +576,8 @@
         warmth = s.cold_share + (1 - s.cold_share) * max(0, self.now - office.started) / s.cold_time
         rates = [o.rate for o in self.offices.values() if o.rate and o.name != office.name]
         if rates:
-            budget = s.cold_multiple * s.cold_share * min(rates) * s.cold_window / SECOND
-            slow = warmth * min(rates) * s.cold_window / SECOND
-            part = max(min(COLD_CAUTION * budget, slow) / s.controllers, 1.0)
+            budget = s.cold_multiple * s.cold_share * sum(rates) / len(rates) * s.cold_window / SECOND
+            part = max(COLD_CAUTION * budget / s.controllers, 1.0)
         else:
             part = COLD_UNKNOWN * warmth / s.cold_share
         return len(office.sent) < part
