--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -34,7 +34,7 @@
 
 # Processors
 WAIT_EASY = 0.25  # share of the shortest aim; a processor's wait up to here sheds nothing
-WAIT_FULL = 0.8  # share of the shortest aim; from here on all but trial calls are shed
+WAIT_FULL = 0.7  # share of the shortest aim; from here on all but trial calls are shed
 ALTERNATE_FACTOR = 0.5  # alternates cost work at one more processor: they stop at this share of the waits
 EVIDENCE_LIFE = 1 * SECOND  # in which word of a processor's wait loses 63% of its weight
 LAG_GAIN, VAR_GAIN = 1 / 8, 1 / 4  # RFC 6298
@@ -161,7 +161,7 @@
     __slots__ = (
         "name", "number", "state", "started", "srtt", "var", "base", "excess", "excess_at",
         "wait", "wait_at", "rate", "reduce", "since", "silent", "opened", "retry_at", "backoff", "trial",
-        "sent", "heard_at",
+        "sent", "heard_at", "pending",
     )  # fmt: skip
 
     def __init__(self, entry: io.OfficeEntry) -> None:
@@ -175,6 +175,7 @@
         self.opened = False
         self.retry_at = self.backoff = 0
         self.trial: str | None = None
+        self.pending: dict[str, int] = {}  # unanswered set-ups and when they were sent, oldest first
         self.sent: deque[int] = deque()  # times of own sends while it is cold
 
     def answered(self, now: int) -> None:
@@ -219,8 +220,16 @@
         told = self.wait * math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
         if self.rate:
             told += self.since / self.rate * SECOND * math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
+        return max(told, self.lag(now))
+
+    def lag(self, now: int) -> float:
+        """Own evidence of the wait on the way there and back (ns).
+
+        Danger: word of a jam comes only when the jam lets an answer through; what is
+        still unanswered tells sooner.
+        """
         seen = self.excess * math.exp(-(now - self.excess_at) / EVIDENCE_LIFE)
-        return max(told, seen)
+        return max(seen, now - next(iter(self.pending.values()), now) - self.base)
 
 
 class Call:
@@ -426,9 +435,9 @@
     def own_delay(self) -> float:
         """The own processor is on every path: what all paths wait is its wait."""
         fresh = [
-            o.excess * math.exp(-(self.now - o.excess_at) / EVIDENCE_LIFE)
+            o.lag(self.now)
             for o in self.offices.values()
-            if self.now - o.excess_at < EVIDENCE_LIFE
+            if o.pending or self.now - o.excess_at < EVIDENCE_LIFE
         ]
         return min(fresh) if len(fresh) > 1 else 0.0
 
@@ -603,6 +612,7 @@
             group.free -= call.width
         call.out, call.office, call.sent_at, call.group = True, office.name, self.now, office.number
         call.tried.append(office.number)
+        office.pending[call.name] = self.now
         leg = call.legs
         call.legs += 1
         office.since += 1
@@ -625,6 +635,7 @@
         office = self.offices.get(event.office)
         if office is not None:
             office.answered(self.now)
+            office.pending.pop(event.call, None)
         call = self.calls.get(event.call)
         if call is None or not call.out or call.legs != event.leg + 1:
             return
@@ -640,6 +651,7 @@
         silent = (io.Outcome.NO_ANSWER, io.Outcome.UNREACHABLE, io.Outcome.NOT_SENT, io.Outcome.CANCELLED)
         if office is not None:
             self.learn(office, event.report)
+            office.pending.pop(event.call, None)
             if event.outcome not in silent:
                 office.answered(self.now)
             elif event.outcome is io.Outcome.UNREACHABLE and office.silence(self.now, self.rng):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -44,3 +44,17 @@
     assert sends(r.call(0, number="n/1")), "but it passes where there is plenty"
     r.run(r.now + 20 * SECOND)
     assert not r.c.refusals, "refused numbers are forgotten"
+
+
+def test_unanswered_setups_tell_of_a_jam_before_any_answer_does() -> None:
+    r = Rig(rig.settings(), numbers=(0, 1, 2))
+    for n in (1, 2):
+        r.circuits(n, free=20)
+        first = sends(r.call(0, dest=n))[0].call
+        r.stand(first)
+        r.end(first, io.Outcome.RELEASED, settled=True)
+    r.call(0, dest=1)
+    r.run(r.now + SECOND)
+    got = sum(bool(sends(r.call(0, dest=1))) for _ in range(10))
+    assert got <= 2, "an office that has not answered for a second is spared"
+    assert sends(r.call(0, dest=2)), "and the others are not"
