--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -441,6 +441,10 @@
         ]
         return min(fresh) if len(fresh) > 1 else 0.0
 
+    def own_shed(self) -> float:
+        share = (self.own_delay() - WAIT_EASY * self.aim) / ((WAIT_FULL - WAIT_EASY) * self.aim)
+        return min(max(share, 0.0), SHED_CAP)
+
     def held_back(self, call: Call, share: float) -> bool:
         """Thin the offered calls by a share, least worth first."""
         if share <= 0.0:
@@ -479,7 +483,14 @@
         return c.worth / (c.width * c.mean_hold)
 
     def serve(self, number: int) -> None:
-        """Circuits toward an office may be free: the held calls of most worth go first."""
+        """Circuits toward an office may be free: the held calls of most worth go first.
+
+        Only once nothing on the way is pressed: held calls that drew lots again and
+        again would undo the shedding.
+        """
+        office = self.usable(number)
+        if not self.waiting.get(number) or office is None or self.shed(office) > 0 or self.own_shed() > 0:
+            return
         for call in sorted(self.waiting.get(number, ()), key=lambda c: (-self.value(c), c.born)):
             self.direct(call, first=False)
 
@@ -517,9 +528,9 @@
         if call.dest not in self.groups and not self.settings.pooled:
             self.refuse(call)
             return
-        share = (self.own_delay() - WAIT_EASY * self.aim) / ((WAIT_FULL - WAIT_EASY) * self.aim)
-        if not call.tried and not call.was_cut and self.held_back(call, min(share, SHED_CAP)):
-            self.refuse(call)
+        if not call.tried and not call.was_cut and self.held_back(call, self.own_shed()):
+            if self.late(call) or not self.hold(call):
+                self.refuse(call)
             return
         if call.dest not in call.tried and self.direct(call):
             return
