--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -631,7 +631,9 @@
             office.trial = call.name
         rto = int(max(office.srtt + RTO_VARS * office.var, RTO_FLOOR * self.aim))
         self.after(self.now + rto, lambda: self.unanswered(call, leg, office))
-        self.out.append(io.Send(call.name, office.name, call.expires))
+        late_at = call.born + self.classes[call.cls].aim
+        until = call.expires if call.transit or self.late(call) else min(call.expires, late_at)
+        self.out.append(io.Send(call.name, office.name, until))
         return True
 
     def unanswered(self, call: Call, leg: int, office: Office) -> None:
