--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -456,14 +456,15 @@
         return self.rng.random() < (share * total - below) / max(level, 1e-9)
 
     def hold(self, call: Call) -> bool:
-        """Keep a blocked call until a circuit is free, while it can still stand within its aim.
+        """Keep a blocked call until it can go, while its caller waits.
 
-        Danger: refused at once it redials, costs work again, and stands late if at all.  Also covers
-        short losses of circuits and floods at one controller.  Hurts where callers leave early.
+        Danger: refused at once it redials, costs work again, and stands late if at all; when all processors
+        are slow, redials alone can keep them so.  Also covers short losses of circuits and floods at one
+        controller.  Hurts where callers leave early.
         """
         office = self.offices.get(self.by_number.get(call.dest, ""))
         setup = office.srtt + RTO_VARS * office.var if office is not None else 0.0
-        until = min(call.born + self.classes[call.cls].aim, call.expires) - int(setup)
+        until = call.expires - int(setup)
         if call.transit or until <= self.now:
             return False
         if not call.held:
@@ -478,9 +479,9 @@
             self.waiting[call.dest].remove(call)
 
     def value(self, call: Call) -> float:
-        """Worth for each circuit-second."""
+        """Worth for each circuit-second, as it stands now."""
         c = self.classes[call.cls]
-        return c.worth / (c.width * c.mean_hold)
+        return c.worth * (c.late_share if self.late(call) else 1.0) / (c.width * c.mean_hold)
 
     def serve(self, number: int) -> None:
         """Circuits toward an office may be free: the held calls of most worth go first.
@@ -529,7 +530,7 @@
             self.refuse(call)
             return
         if not call.tried and not call.was_cut and self.held_back(call, self.own_shed()):
-            if self.late(call) or not self.hold(call):
+            if not self.hold(call):
                 self.refuse(call)
             return
         if call.dest not in call.tried and self.direct(call):
