--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -456,7 +456,7 @@
         return self.rng.random() < (share * total - below) / max(level, 1e-9)
 
     def hold(self, call: Call) -> bool:
-        """Keep a blocked call until it can go, while its caller waits.
+        """Keep a blocked call while it can stand within its aim; one past it while processors are pressed.
 
         Danger: refused at once it redials, costs work again, and stands late if at all; when all processors
         are slow, redials alone can keep them so.  Also covers short losses of circuits and floods at one
@@ -464,7 +464,8 @@
         """
         office = self.offices.get(self.by_number.get(call.dest, ""))
         setup = office.srtt + RTO_VARS * office.var if office is not None else 0.0
-        until = call.expires - int(setup)
+        aim = call.born + self.classes[call.cls].aim
+        until = (call.expires if self.late(call) else min(aim, call.expires)) - int(setup)
         if call.transit or until <= self.now:
             return False
         if not call.held:
@@ -536,7 +537,8 @@
         if call.dest not in call.tried and self.direct(call):
             return
         if call.transit or call.legs >= self.settings.attempt_cap or not self.alternate(call):
-            if not self.hold(call):
+            calm = self.shed(self.offices.get(self.by_number.get(call.dest, ""))) <= 0.0
+            if (self.late(call) and calm) or not self.hold(call):
                 self.refuse(call)
 
     def direct(self, call: Call, first: bool = True) -> bool:
