--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -33,8 +33,8 @@
 BLOCK_HALF = 0.3  # holding times in which half the direct blockings are forgotten
 
 # Processors
-WAIT_EASY = 0.25  # share of the shortest aim; a processor's wait up to here sheds nothing
-WAIT_FULL = 0.7  # share of the shortest aim; from here on all but trial calls are shed
+WAIT_EASY = 0.2  # share of the shortest aim; a processor's wait up to here sheds nothing
+WAIT_FULL = 0.6  # share of the shortest aim; from here on all but trial calls are shed
 ALTERNATE_FACTOR = 0.5  # alternates cost work at one more processor: they stop at this share of the waits
 EVIDENCE_LIFE = 1 * SECOND  # in which word of a processor's wait loses 63% of its weight
 LAG_GAIN, VAR_GAIN = 1 / 8, 1 / 4  # RFC 6298
@@ -220,7 +220,9 @@
         told = self.wait * math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
         if self.rate:
             told += self.since / self.rate * SECOND * math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
-        return max(told, self.lag(now))
+        # Danger: reports can be seconds old and say so nowhere; a set-up answered just now knows better.
+        stale = 1.0 - math.exp(-(now - self.excess_at) / EVIDENCE_LIFE)
+        return max(told * stale, self.lag(now))
 
     def lag(self, now: int) -> float:
         """Own evidence of the wait on the way there and back (ns).
@@ -456,16 +458,14 @@
         return self.rng.random() < (share * total - below) / max(level, 1e-9)
 
     def hold(self, call: Call) -> bool:
-        """Keep a blocked call while it can stand within its aim; one past it while processors are pressed.
+        """Keep a blocked call until a circuit is free, while it can still stand within its aim.
 
-        Danger: refused at once it redials, costs work again, and stands late if at all; when all processors
-        are slow, redials alone can keep them so.  Also covers short losses of circuits and floods at one
-        controller.  Hurts where callers leave early.
+        Danger: refused at once it redials, costs work again, and stands late if at all.  Also covers
+        short losses of circuits and floods at one controller.  Hurts where callers leave early.
         """
         office = self.offices.get(self.by_number.get(call.dest, ""))
         setup = office.srtt + RTO_VARS * office.var if office is not None else 0.0
-        aim = call.born + self.classes[call.cls].aim
-        until = (call.expires if self.late(call) else min(aim, call.expires)) - int(setup)
+        until = min(call.born + self.classes[call.cls].aim, call.expires) - int(setup)
         if call.transit or until <= self.now:
             return False
         if not call.held:
@@ -480,9 +480,9 @@
             self.waiting[call.dest].remove(call)
 
     def value(self, call: Call) -> float:
-        """Worth for each circuit-second, as it stands now."""
+        """Worth for each circuit-second."""
         c = self.classes[call.cls]
-        return c.worth * (c.late_share if self.late(call) else 1.0) / (c.width * c.mean_hold)
+        return c.worth / (c.width * c.mean_hold)
 
     def serve(self, number: int) -> None:
         """Circuits toward an office may be free: the held calls of most worth go first.
@@ -531,14 +531,13 @@
             self.refuse(call)
             return
         if not call.tried and not call.was_cut and self.held_back(call, self.own_shed()):
-            if not self.hold(call):
+            if self.late(call) or not self.hold(call):
                 self.refuse(call)
             return
         if call.dest not in call.tried and self.direct(call):
             return
         if call.transit or call.legs >= self.settings.attempt_cap or not self.alternate(call):
-            calm = self.shed(self.offices.get(self.by_number.get(call.dest, ""))) <= 0.0
-            if (self.late(call) and calm) or not self.hold(call):
+            if not self.hold(call):
                 self.refuse(call)
 
     def direct(self, call: Call, first: bool = True) -> bool:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -58,3 +58,17 @@
     got = sum(bool(sends(r.call(0, dest=1))) for _ in range(10))
     assert got <= 2, "an office that has not answered for a second is spared"
     assert sends(r.call(0, dest=2)), "and the others are not"
+
+
+def test_a_fresh_answer_outweighs_a_report_that_may_be_old() -> None:
+    r = Rig(rig.settings(), numbers=(0, 1))
+    r.circuits(1, free=30)
+    first, second, third = (sends(r.call(2))[0].call for _ in range(3))
+    r.stand(first)  # sets the shortest response time
+    r.stand(second)
+    jam = io.LoadReport(free=30, size=30, waiting=50.0, max_rate=10.0)
+    r.end(second, io.Outcome.RELEASED, settled=True, report=jam)
+    r.stand(third)
+    assert sum(bool(sends(r.call(0))) for _ in range(10)) == 10
+    r.run(r.now + SECOND)
+    assert sum(bool(sends(r.call(0))) for _ in range(10)) < 5, "without own answers the report counts"
