--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -33,8 +33,8 @@
 BLOCK_HALF = 0.3  # holding times in which half the direct blockings are forgotten
 
 # Processors
-WAIT_EASY = 0.12  # share of the shortest aim; a processor's wait up to here sheds nothing
-WAIT_FULL = 0.45  # share of the shortest aim; from here on all but trial calls are shed
+WAIT_EASY = 0.2  # share of the shortest aim; a processor's wait up to here sheds nothing
+WAIT_FULL = 0.6  # share of the shortest aim; from here on all but trial calls are shed
 ALTERNATE_FACTOR = 0.5  # alternates cost work at one more processor: they stop at this share of the waits
 EVIDENCE_LIFE = 1 * SECOND  # in which word of a processor's wait loses 63% of its weight
 LAG_GAIN, VAR_GAIN = 1 / 8, 1 / 4  # RFC 6298
