--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -485,7 +485,7 @@
         return c.worth / (c.width * c.mean_hold)
 
     def serve(self, number: int) -> None:
-        """Circuits toward an office may be free: the held calls of most worth go first.
+        """Circuits toward an office may be free: calls that were cut go first, then those of most worth.
 
         Only once nothing on the way is pressed: held calls that drew lots again and
         again would undo the shedding.
@@ -493,7 +493,7 @@
         office = self.usable(number)
         if not self.waiting.get(number) or office is None or self.shed(office) > 0 or self.own_shed() > 0:
             return
-        for call in sorted(self.waiting.get(number, ()), key=lambda c: (-self.value(c), c.born)):
+        for call in sorted(self.waiting.get(number, ()), key=lambda c: (not c.was_cut, -self.value(c), c.born)):
             self.direct(call, first=False)
 
     def admitted(self, call: Call, number: int, explore: bool = True) -> bool:
@@ -530,7 +530,7 @@
         if call.dest not in self.groups and not self.settings.pooled:
             self.refuse(call)
             return
-        if not call.tried and not call.was_cut and self.held_back(call, self.own_shed()):
+        if not call.tried and self.held_back(call, self.own_shed()):
             if self.late(call) or not self.hold(call):
                 self.refuse(call)
             return
