--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -379,9 +379,10 @@
         call = self.calls[event.call] = Call(event, self.now)
         self.seen[call.cls].add(self.now)
         key = (call.number, call.cls, call.dest)
-        if not call.transit and not call.was_cut and key in self.refusals:
+        if not call.transit and key in self.refusals:
             call.born = self.refusals[key]
-        elif event.redialled:
+        elif event.redialled and not event.was_cut:
+            # Danger: a cut call is a repeat too, but its aim runs anew: taken for late, it is lost.
             call.born = self.now - self.classes[call.cls].aim
         self.after(call.expires, lambda: self.expire(call.name))
         self.choose(call)
@@ -493,7 +494,7 @@
         office = self.usable(number)
         if not self.waiting.get(number) or office is None or self.shed(office) > 0 or self.own_shed() > 0:
             return
-        for call in sorted(self.waiting.get(number, ()), key=lambda c: (not c.was_cut, -self.value(c), c.born)):
+        for call in sorted(self.waiting[number], key=lambda c: (not c.was_cut, -self.value(c), c.born)):
             self.direct(call, first=False)
 
     def admitted(self, call: Call, number: int, explore: bool = True) -> bool:
@@ -656,6 +657,7 @@
             office.timed(self.now, event.took)
         elif office is not None:
             self.rests.pop((office.number, call.dest), None)
+        self.refusals.pop((call.number, call.cls, call.dest), None)
         if call.group is not None:
             call.epoch = self.groups[call.group].systems[call.cls].began()
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -72,3 +72,10 @@
     assert sum(bool(sends(r.call(0))) for _ in range(10)) == 10
     r.run(r.now + SECOND)
     assert sum(bool(sends(r.call(0))) for _ in range(10)) < 5, "without own answers the report counts"
+
+
+def test_cut_calls_marked_as_repeats_are_not_taken_for_late() -> None:
+    r = Rig(rig.settings(redials_marked=True), numbers=(0, 1))
+    r.circuits(1, free=3)
+    assert refused(r.call(0, redialled=True)), "a late redial leaves the reserve alone"
+    assert sends(r.call(0, redialled=True, was_cut=True)), "a cut call has its aim anew"
