A crowd of unanswered set-ups counts as a queue, at the usual pace of answers

Also holds against bursts and floods at one controller; might hurt right after a start, when the pace is not yet known.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -40,6 +40,8 @@
 LAG_GAIN, VAR_GAIN = 1 / 8, 1 / 4  # RFC 6298
 RTO_VARS = 4.0  # RFC 6298
 RTO_FLOOR = 1.0  # shortest aims; processors queue longer than any network's round trip
+PENDING_FREE = 3  # unanswered set-ups to one office that say nothing yet of a queue
+ANSWER_HALF = 5 * SECOND  # in which half the answers are forgotten, to know an office's usual pace
 SHED_CAP = 0.97  # share; some calls always go, to learn that the trouble is over
 
 # Silence
@@ -161,7 +163,7 @@
     __slots__ = (
         "name", "number", "state", "started", "srtt", "var", "base", "excess", "excess_at",
         "wait", "wait_at", "rate", "reduce", "since", "silent", "opened", "retry_at", "backoff", "trial",
-        "sent", "heard_at", "pending",
+        "sent", "heard_at", "pending", "answers",
     )  # fmt: skip
 
     def __init__(self, entry: io.OfficeEntry) -> None:
@@ -175,6 +177,7 @@
         self.opened = False
         self.retry_at = self.backoff = 0
         self.trial: str | None = None
+        self.answers = Fading(ANSWER_HALF)
         self.pending: dict[str, int] = {}  # unanswered set-ups and when they were sent, oldest first
         self.sent: deque[int] = deque()  # times of own sends while it is cold
 
@@ -228,10 +231,12 @@
         """Own evidence of the wait on the way there and back (ns).
 
         Danger: word of a jam comes only when the jam lets an answer through; what is
-        still unanswered tells sooner.
+        still unanswered tells sooner, and a crowd sent at once tells before any of it is due.
         """
         seen = self.excess * math.exp(-(now - self.excess_at) / EVIDENCE_LIFE)
-        return max(seen, now - next(iter(self.pending.values()), now) - self.base)
+        age = now - next(iter(self.pending.values()), now) - self.base
+        pace = max(self.answers.read(now), 1.0) * math.log(2) / ANSWER_HALF
+        return max(seen, age, (len(self.pending) - PENDING_FREE) / pace)
 
 
 class Call:
@@ -649,6 +654,7 @@
         office = self.offices.get(event.office)
         if office is not None:
             office.answered(self.now)
+            office.answers.add(self.now)
             office.pending.pop(event.call, None)
         call = self.calls.get(event.call)
         if call is None or not call.out or call.legs != event.leg + 1:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,7 +2,7 @@
 
 from eiderstep import interface as io
 from tests import rig
-from tests.rig import SECOND, Rig, addr, refused, sends
+from tests.rig import MS, SECOND, Rig, addr, refused, sends
 
 
 def test_blocked_calls_wait_for_a_circuit_most_worth_first() -> None:
@@ -79,3 +79,16 @@
     r.circuits(1, free=3)
     assert refused(r.call(0, redialled=True)), "a late redial leaves the reserve alone"
     assert sends(r.call(0, redialled=True, was_cut=True)), "a cut call has its aim anew"
+
+
+def test_a_crowd_sent_at_once_is_paced_before_any_answer_is_due() -> None:
+    r = Rig(rig.settings(), numbers=(0, 1))
+    r.circuits(1, free=200, size=200)
+    at_once = sum(bool(sends(r.call(0, was_cut=True))) for _ in range(100))
+    assert at_once <= 15, "a mass of cut calls does not all go out in one moment"
+    kept = sum(bool(refused([a])) for a in r.run(r.now + 500 * MS))
+    assert kept == 0, "the rest is held, not refused"
+    for call in list(r.out):
+        r.stand(call, 100 * MS)
+    r.run(r.now + 100 * MS)
+    assert sends(r.circuits(1, free=180, size=200)), "and goes when answers come"
