--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -40,7 +40,7 @@
 LAG_GAIN, VAR_GAIN = 1 / 8, 1 / 4  # RFC 6298
 RTO_VARS = 4.0  # RFC 6298
 RTO_FLOOR = 1.0  # shortest aims; processors queue longer than any network's round trip
-PENDING_FREE = 3  # unanswered set-ups to one office that say nothing yet of a queue
+PENDING_FREE = 2  # unanswered set-ups to one office that say nothing yet of a queue
 ANSWER_HALF = 5 * SECOND  # in which half the answers are forgotten, to know an office's usual pace
 SHED_CAP = 0.97  # share; some calls always go, to learn that the trouble is over
 
@@ -65,8 +65,6 @@
 class Fading:
     """A count that halves in a fixed time."""
 
-    __slots__ = ("half", "value", "at")
-
     def __init__(self, half: float) -> None:
         self.half, self.value, self.at = max(half, 1.0), 0.0, 0
 
@@ -84,8 +82,6 @@
 class LossSystem:
     """The calls of one class on one own group, seen at each arrival as the paper sees its servers."""
 
-    __slots__ = ("life", "notes", "last", "standing", "base", "left", "epoch", "alpha")
-
     def __init__(self, mean_hold: int) -> None:
         self.life = int(WINDOW_HOLDS * mean_hold)
         self.notes: deque[tuple[int, float, int, int]] = deque(maxlen=WINDOW_NOTES)
@@ -136,8 +132,6 @@
 class Group:
     """One own trunk group, or one pool of agents."""
 
-    __slots__ = ("free", "size", "systems", "blocks")
-
     def __init__(self, classes: tuple[io.CallClass, ...]) -> None:
         self.free: int | None = None
         self.size = 0
@@ -160,12 +154,6 @@
 class Office:
     """One processor: what the list, its answers and its silence say of it."""
 
-    __slots__ = (
-        "name", "number", "state", "started", "srtt", "var", "base", "excess", "excess_at",
-        "wait", "wait_at", "rate", "reduce", "since", "silent", "opened", "retry_at", "backoff", "trial",
-        "sent", "heard_at", "pending", "answers",
-    )  # fmt: skip
-
     def __init__(self, entry: io.OfficeEntry) -> None:
         self.name, self.number = entry.office, entry.number
         self.state, self.started = entry.state, entry.started
@@ -242,11 +230,6 @@
 class Call:
     """One call that this controller owes an answer, or that stands."""
 
-    __slots__ = (
-        "name", "cls", "dest", "width", "expires", "transit", "was_cut", "via", "legs", "out", "tried",
-        "not_before", "group", "epoch", "sent_at", "office", "born", "held", "number",
-    )  # fmt: skip
-
     def __init__(self, offer: io.CallOffered, now: int) -> None:
         self.born, self.held, self.number = now, False, offer.number
         self.name, self.cls, self.dest, self.width = offer.call, offer.class_no, offer.dest, offer.width
