--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -672,7 +672,7 @@
         if call is None or call.legs != event.leg + 1:
             return
         if call.epoch is not None and call.group is not None:
-            released = event.outcome is io.Outcome.RELEASED
+            released = True
             self.groups[call.group].systems[call.cls].ended(call.epoch, released)
             call.epoch = None
         call.out = False
