A window of under four releases counts as empty

Cause: the design's weak spot of thin classes: on one or two releases the estimate swings across the bar.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -117,7 +117,7 @@
 
     def knows(self) -> bool:
         """Whether the window holds a release."""
-        return any(note[3] for note in self.notes)
+        return sum(note[3] for note in self.notes) >= 4
 
     def beats(self, bar: float) -> bool:
         """The likelihood test: is the release rate above the bar (per second)?"""
@@ -672,7 +672,7 @@
         if call is None or call.legs != event.leg + 1:
             return
         if call.epoch is not None and call.group is not None:
-            released = True
+            released = event.outcome is io.Outcome.RELEASED
             self.groups[call.group].systems[call.cls].ended(call.epoch, released)
             call.epoch = None
         call.out = False
