--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -498,9 +498,14 @@
             return False
         margin = MARGIN_WIDTHS * self.widest
         price = self.top_value * (margin + 1 - group.free) / (margin + 1)
-        if price <= 0.0 or self.values[call.cls] >= self.top_value or not system.knows():
+        if price <= 0.0 or self.values[call.cls] >= self.top_value:
             return True
-        if system.beats(price * call.width / max(self.classes[call.cls].worth, 1e-9)):
+        view = system
+        if not system.knows():
+            view = LossSystem(self.classes[call.cls].mean_hold)
+            for g in self.groups.values():
+                view.notes.extend(g.systems[call.cls].notes)
+        if not view.knows() or view.beats(price * call.width / max(self.classes[call.cls].worth, 1e-9)):
             return True
         if not explore:
             return False
