--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -59,7 +59,7 @@
 def known(r: Rig, cls: int, hold: float) -> LossSystem:
     """Fill the window of group 1 with calls of one mean hold (seconds)."""
     system = r.c.groups[1].systems[cls]
-    system.notes.extend((r.now, 1.0, 9, m) for m in [1] * max(1, round(100 / hold)))
+    system.notes.extend((r.now, 1.0, 9, m) for m in [1] * max(4, round(100 / hold)))
     system.notes.extend((r.now, 1.0, 10, 0) for _ in range(20))
     return system
 
