--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -240,7 +240,7 @@
     def __init__(self, offer: io.CallOffered, now: int) -> None:
         self.born, self.held, self.number = now, False, offer.number
         self.name, self.cls, self.dest, self.width = offer.call, offer.class_no, offer.dest, offer.width
-        self.expires, self.transit, self.via = offer.expires, offer.transit, offer.hint
+        self.expires, self.transit = offer.expires, offer.transit
         self.was_cut = offer.was_cut
         self.legs = 0
         self.out = False
@@ -249,7 +249,6 @@
         self.group: int | None = None
         self.epoch: int | None = None  # set once it stands
         self.sent_at = 0
-        self.office = ""
 
 
 class Controller:
@@ -621,7 +620,7 @@
         group = self.groups[office.number]
         if group.free is not None:
             group.free -= call.width
-        call.out, call.office, call.sent_at, call.group = True, office.name, self.now, office.number
+        call.out, call.sent_at, call.group = True, self.now, office.number
         call.tried.append(office.number)
         office.pending[call.name] = self.now
         leg = call.legs
