Planned tandems keep the reserve of their own leg

What is left of the loss: slow processors, where a tandem is one more processor to press. Next: the work limit of alternates for planned tandems too.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -575,7 +575,7 @@
         dest, pools = self.groups.get(call.dest), self.classes[call.cls].pools
         planned = dest is not None and not dest.linked() and not self.settings.pooled
         factor = 1.0 if planned else ALTERNATE_FACTOR
-        if self.late(call) and not planned:
+        if self.late(call):
             return False
         if not self.settings.pooled:
             far = self.usable(call.dest)
@@ -592,8 +592,7 @@
                 continue
             if not group.free or (pools is not None and number not in pools):
                 continue
-            kept = 0.0 if planned and not self.late(call) else group.reserve(self.now, self.widest)
-            if group.free - call.width < kept:
+            if group.free - call.width < group.reserve(self.now, self.widest):
                 continue
             office = self.usable(number)
             if office is not None and self.shed(office, factor) <= 0.0:
