--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any
 
@@ -147,6 +147,7 @@
     def __init__(self, classes: tuple[io.CallClass, ...]) -> None:
         self.free: int | None = None
         self.size: int | None = None
+        self.asked, self.sent_on = 2.0, 1.0  # calls sent over it as a tandem, and those that stood
         self.systems = [LossSystem(c.mean_hold) for c in classes]
         self.blocks = Fading(BLOCK_HALF * max(c.mean_hold for c in classes))
 
@@ -281,6 +282,7 @@
         self.offices: dict[str, Office] = {}
         self.by_number: dict[int, str] = {}
         self.groups: dict[int, Group] = {}
+        self.fresh: dict[str, Office] = {}  # offices with set-ups out, or an answer within EVIDENCE_LIFE
         self.calls: dict[str, Call] = {}
         self.rests: dict[tuple[int, int], tuple[int, float]] = {}  # tandem, destination: until, length
         self.carried: set[tuple[int, int]] = set()  # tandem, destination: a call stood that way
@@ -443,9 +445,9 @@
 
     def own_delay(self) -> float:
         """The own processor is on every path: what all paths wait is its wait."""
-        known = (o for o in self.offices.values() if o.pending or self.now - o.excess_at < EVIDENCE_LIFE)
-        fresh = [o.lag(self.now) for o in known]
-        return min(fresh) if len(fresh) > 1 else 0.0
+        known = (o for o in self.fresh.values() if o.pending or self.now - o.excess_at < EVIDENCE_LIFE)
+        self.fresh = {o.name: o for o in known if self.offices.get(o.name) is o}
+        return min(o.lag(self.now) for o in self.fresh.values()) if len(self.fresh) > 1 else 0.0
 
     def own_shed(self) -> float:
         if self.now < self.own_down_until:
@@ -566,39 +568,35 @@
             return False
         return self.send(call, office)
 
-    def alternate(self, call: Call, numbers: list[int] | None = None) -> bool:
-        """One random tandem whose own leg shows room beyond the reserve.
+    def alternate(self, call: Call, numbers: Iterable[int] | None = None) -> bool:
+        """One random tandem whose own leg shows room beyond the reserve; the planned route of unlinked pairs.
 
-        Where the pair has no group this is the planned route, and the stricter limits of alternates
-        do not bar it.  Tandems that never yet carried a call there come last: they may have no group to it.
+        Danger: in a large fleet many tandems have no group to the destination, and each call turned back
+        is work at two processors.  Those that carried a call there come first, then by lot, weighted by
+        how often each sent calls of ours on.  Hurts where the pattern of groups changes within minutes.
         """
-        dest, pools = self.groups.get(call.dest), self.classes[call.cls].pools
-        planned = dest is not None and not dest.linked() and not self.settings.pooled
-        factor = 1.0 if planned else ALTERNATE_FACTOR
+        pools = self.classes[call.cls].pools
         if self.late(call):
             return False
         if not self.settings.pooled:
             far = self.usable(call.dest)
-            if far is None or self.held_back(call, self.shed(far, factor)):
+            if far is None or self.held_back(call, self.shed(far, ALTERNATE_FACTOR)):
                 return False  # another tandem does not cure a destination in trouble
-        order = numbers or list(self.groups)
-        start = int(self.rng.random() * len(order))
-        best, least = -1, math.inf
-        for number in order[start:] + order[:start]:
-            until, rest = self.rests.get((number, call.dest), (0, 0.0))
-            rest = rest if (number, call.dest) not in self.carried else -1.0
-            group = self.groups[number]
-            if rest >= least or self.now < until or number == call.dest or number in call.tried:
+        best, most = -1, 0.0
+        for number in numbers or self.groups:
+            group, pair = self.groups[number], (number, call.dest)
+            if not group.free or number == call.dest or number in call.tried:
                 continue
-            if not group.free or (pools is not None and number not in pools):
+            until, rest = self.rests.get(pair, (0, 0.0))
+            odds = group.sent_on / group.asked / (2 if rest else 1)
+            lot = self.rng.random() * odds + (pair in self.carried)
+            if lot <= most or self.now < until or (pools is not None and number not in pools):
                 continue
             if group.free - call.width < group.reserve(self.now, self.widest):
                 continue
             office = self.usable(number)
-            if office is not None and self.shed(office, factor) <= 0.0:
-                best, least = number, rest
-                if least < 0.0:
-                    break
+            if office is not None and self.shed(office, ALTERNATE_FACTOR) <= 0.0:
+                best, most = number, lot
         if best < 0:
             return False
         self.groups[best].systems[call.cls].arrive(self.now)
@@ -638,11 +636,13 @@
         if office.started and self.now - office.started < s.cold_time:
             office.sent.append(self.now)
         group = self.groups[office.number]
+        group.asked += office.number != call.dest
         if group.free is not None:
             group.free -= call.width
         call.out, call.sent_at, call.group = True, self.now, office.number
         call.tried.append(office.number)
         office.pending[call.name] = self.now
+        self.fresh[office.name] = office
         leg = call.legs
         call.legs += 1
         office.since += 1
@@ -676,6 +676,7 @@
             office.timed(self.now, event.took)
         elif office is not None:
             self.rests.pop((office.number, call.dest), None)
+            self.groups[office.number].sent_on += 1
             self.carried.add((office.number, call.dest))
         self.refusals.pop((call.number, call.cls, call.dest), None)
         if call.group is not None:
