--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -251,7 +251,7 @@
     def __init__(self, offer: io.CallOffered, now: int) -> None:
         self.born, self.held, self.number = now, False, offer.number
         self.name, self.cls, self.dest, self.width = offer.call, offer.class_no, offer.dest, offer.width
-        self.expires, self.transit = offer.expires, offer.transit
+        self.expires, self.transit, self.hint = offer.expires, offer.transit, offer.hint
         self.was_cut = offer.was_cut
         self.legs = 0
         self.out = False
@@ -589,7 +589,7 @@
                 continue
             until, rest = self.rests.get(pair, (0, 0.0))
             odds = group.sent_on / group.asked / (2 if rest else 1)
-            lot = self.rng.random() * odds + (pair in self.carried)
+            lot = self.rng.random() * odds + (pair in self.carried) + 2 * (number == call.hint)
             if lot <= most or self.now < until or (pools is not None and number not in pools):
                 continue
             if group.free - call.width < group.reserve(self.now, self.widest):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -239,3 +239,15 @@
         r.end(got[0].call, io.Outcome.RELEASED, settled=True)
         r.run(r.now + 5 * SECOND)
     assert len(vain) <= 1, "asked in vain once at most while another tandem carries"
+
+
+def test_a_centres_advice_is_the_first_tandem_tried() -> None:
+    for seed in range(5):
+        r = Rig(rig.settings(), seed=seed, numbers=(0, 1, 2, 3, 4))
+        r.circuits(1, free=0, size=0)
+        for n in (2, 3, 4):
+            r.circuits(n, free=20)
+        assert [a.office for a in sends(r.call(0, hint=4))] == [addr(4)]
+        r.circuits(4, free=0)
+        assert [a.office for a in sends(r.call(0, hint=4))] != [addr(4)], "not where the own leg is full"
+        assert sends(r.call(0, hint=77)), "nor where nobody knows of it"
