--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -22,14 +22,12 @@
 WINDOW_HOLDS = 3.0  # holding times; older gaps say little of the present traffic
 WINDOW_NOTES = 256  # gaps; bounds the work of one test
 THIN_RELEASES = 4  # in the window; with fewer the estimate is off by half or more (1 / root of their number)
-MARGIN_WIDTHS = 1.0  # widest classes; circuits that must be free before the price is nought
 EXPLORE_BASE = 20.0  # f(0); a refused class is tried once in so many calls, so a bar once set still holds
 EXPLORE_POWER = 0.6  # 1 - epsilon of the paper's f(n) = exp(n^(1 - epsilon))
 ALPHA_HALF = 2.0  # holding times in which alpha halves: traffic drifts, so old exploring counts less
 
 # The companion
-RESERVE_FLOOR = 1.0  # widest classes kept from transit and alternates even with no direct blocking
-RESERVE_ROOT = 1.0  # share of the root of the group's size by which the reserve can grow
+RESERVE_FLOOR = 0.5  # roots of the group's size kept, one widest class at most, where pairs lack groups
 RESERVE_BLOCKS = 3.0  # recent direct blockings at which the reserve has grown by 63%
 BLOCK_HALF = 0.3  # holding times in which half the direct blockings are forgotten
 
@@ -40,7 +38,6 @@
 EVIDENCE_LIFE = 1 * SECOND  # in which word of a processor's wait loses 63% of its weight
 LAG_GAIN, VAR_GAIN = 1 / 8, 1 / 4  # RFC 6298
 RTO_VARS = 4.0  # RFC 6298
-RTO_FLOOR = 1.0  # shortest aims; processors queue longer than any network's round trip
 PENDING_FREE = 2  # unanswered set-ups to one office that say nothing yet of a queue
 ANSWER_HALF = 5 * SECOND  # in which half the answers are forgotten, to know an office's usual pace
 SHED_CAP = 0.97  # share; some calls always go, to learn that the trouble is over
@@ -162,10 +159,15 @@
         """Whether there is a group at all: a pair told a size of nought is planned over a tandem."""
         return self.size != 0
 
-    def reserve(self, now: int, widest: int) -> float:
-        """Circuits kept from transit and alternates; grows as direct calls are blocked."""
-        grown = 1.0 - math.exp(-self.blocks.read(now) / RESERVE_BLOCKS)
-        return RESERVE_FLOOR * widest + grown * RESERVE_ROOT * math.sqrt(self.size or 0)
+    def reserve(self, now: int, widest: int, sparse: bool = False) -> float:
+        """Circuits kept from transit and alternates; grows as direct calls are blocked.
+
+        It never falls under one widest class, or half the root of the group's size where that is less and
+        pairs lack groups (sparse).  Danger: calls in transit are mostly on their planned route there, and
+        one widest class is half of a thin group.  Hurts in overload: they take circuits from direct calls.
+        """
+        root, grown = math.sqrt(self.size or 0), 1.0 - math.exp(-self.blocks.read(now) / RESERVE_BLOCKS)
+        return (min(RESERVE_FLOOR * root, widest) if sparse else widest) + grown * root
 
 
 class Office:
@@ -289,7 +291,7 @@
         self.refusals: dict[tuple[str, int, int], int] = {}  # number, class, destination: first try
         self.waiting: dict[int, list[Call]] = {}  # held calls by destination
         self.timers: dict[int, Callable[[], object]] = {}
-        self.token = 0
+        self.token, self.sparse = 0, False  # sparse: some pairs have no group
         self.noted: dict[str, int] = {}
         self.own_down_until = 0
         self.out: list[io.Action] = []
@@ -378,6 +380,7 @@
         group = self.groups.get(office.number)
         if group is not None:
             group.told(report)
+            self.sparse |= not group.linked()
         office.report(self.now, report)
 
     # -- calls
@@ -516,8 +519,7 @@
             return True
         if group.free < call.width:
             return False
-        margin = MARGIN_WIDTHS * self.widest
-        price = self.top_value * (margin + 1 - group.free) / (margin + 1)
+        price = self.top_value * (self.widest + 1 - group.free) / (self.widest + 1)
         if price <= 0.0 or self.values[call.cls] >= self.top_value or not system.knows():
             return True
         if system.beats(price * call.width / max(self.classes[call.cls].worth, 1e-9)):
@@ -560,7 +562,7 @@
         if office is None or self.held_back(call, self.shed(office)):
             return False
         if (call.transit or self.late(call)) and group.free is not None:
-            if group.free - call.width < group.reserve(self.now, self.widest):
+            if group.free - call.width < group.reserve(self.now, self.widest, self.sparse):
                 return False
         if not self.admitted(call, call.dest, first):
             if not call.transit and first:
@@ -592,7 +594,7 @@
             lot = self.rng.random() * odds + (pair in self.carried) + 2 * (number == call.hint)
             if lot <= most or self.now < until or (pools is not None and number not in pools):
                 continue
-            if group.free - call.width < group.reserve(self.now, self.widest):
+            if group.free - call.width < group.reserve(self.now, self.widest, self.sparse):
                 continue
             office = self.usable(number)
             if office is not None and self.shed(office, ALTERNATE_FACTOR) <= 0.0:
@@ -648,7 +650,7 @@
         office.since += 1
         if office.opened:
             office.trial = call.name
-        rto = int(max(office.srtt + RTO_VARS * office.var, RTO_FLOOR * self.aim))
+        rto = int(max(office.srtt + RTO_VARS * office.var, self.aim))  # processors queue longer than networks
         self.after(self.now + rto, lambda: self.unanswered(call, leg, office))
         self.out.append(io.Send(call.name, office.name, call.expires))
         return True
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -251,3 +251,16 @@
         r.circuits(4, free=0)
         assert [a.office for a in sends(r.call(0, hint=4))] != [addr(4)], "not where the own leg is full"
         assert sends(r.call(0, hint=77)), "nor where nobody knows of it"
+
+
+def test_the_reserve_of_a_thin_group_lets_planned_transit_pass() -> None:
+    r = Rig(rig.settings(), numbers=(0, 1, 2, 3))
+    r.circuits(1, free=4, size=6)
+    assert refused(r.call(0, transit=True, hint=2)) == [], "one widest class stays free"
+    r.circuits(1, free=3, size=6)
+    assert refused(r.call(0, transit=True, hint=2)), "which is the floor where every pair has a group"
+    r.circuits(3, free=0, size=0)
+    r.circuits(1, free=3, size=6)
+    assert sends(r.call(0, transit=True, hint=2)), "where some have none, transit is mostly planned"
+    r.circuits(1, free=2, size=6)
+    assert refused(r.call(0, transit=True, hint=2)), "but a reserve stays"
