Own stalls: told by a late timer and not taken for the offices' wait; news of a batch goes first, timers last

Test: two seconds of nothing, then all at once: no office called silent, no burst, calls served. It might hurt where timers are late for other causes.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -40,6 +40,7 @@
 RTO_VARS = 4.0  # RFC 6298
 PENDING_FREE = 2  # unanswered set-ups to one office that say nothing yet of a queue
 ANSWER_HALF = 5 * SECOND  # in which half the answers are forgotten, to know an office's usual pace
+STALL = 0.1  # shortest aims; a timer later than this tells of a stall of our own
 SHED_CAP = 0.97  # share; some calls always go, to learn that the trouble is over
 
 # Silence
@@ -57,11 +58,12 @@
 TURNED_BACK = 0.05  # holding times that a tandem rests for a destination it turned a call back from; doubles
 TURNED_BACK_CAP = 8.0  # times the first rest
 
-LIST_RETRY = 2 * SECOND  # after a request for the list failed
+LIST_RETRY = 2 * SECOND
 OVER = -2  # where calls without a group to their destination are held
 NOTE_GAP = 5 * SECOND  # between two log lines about one thing
 
 
+ORDER = {io.CallOffered: 1, io.CallGone: 1, io.TimerDue: 2}  # all else is news, and goes first
 SAYS_NOTHING = (io.Outcome.NO_ANSWER, io.Outcome.UNREACHABLE, io.Outcome.NOT_SENT, io.Outcome.CANCELLED)
 RELEASES = (io.Outcome.NO_ANSWER, io.Outcome.CUT, io.Outcome.CANCELLED)  # rule 5
 HOPELESS = (io.Cause.BEYOND_FULL, io.Cause.PROCESSOR_FULL, io.Cause.NUMBER_BUSY)
@@ -162,9 +164,8 @@
     def reserve(self, now: int, widest: int, sparse: bool = False) -> float:
         """Circuits kept from transit and alternates; grows as direct calls are blocked.
 
-        It never falls under one widest class, or half the root of the group's size where that is less and
-        pairs lack groups (sparse).  Danger: calls in transit are mostly on their planned route there, and
-        one widest class is half of a thin group.  Hurts in overload: they take circuits from direct calls.
+        Floor: one widest class; where pairs lack groups (sparse), a share of the root of the size.  Danger:
+        planned transit is shut out of thin groups.  Hurts in overload, where it displaces direct calls.
         """
         root, grown = math.sqrt(self.size or 0), 1.0 - math.exp(-self.blocks.read(now) / RESERVE_BLOCKS)
         return (min(RESERVE_FLOOR * root, widest) if sparse else widest) + grown * root
@@ -246,7 +247,7 @@
     """One call that this controller owes an answer, or that stands."""
 
     def __init__(self, offer: io.CallOffered, now: int) -> None:
-        self.born, self.held, self.number = now, False, offer.number
+        self.born, self.held, self.number, self.sent_at = now, False, offer.number, 0
         self.name, self.cls, self.dest, self.width = offer.call, offer.class_no, offer.dest, offer.width
         self.expires, self.transit, self.hint = offer.expires, offer.transit, offer.hint
         self.was_cut = offer.was_cut
@@ -254,7 +255,6 @@
         self.tried: list[int] = []
         self.group: int | None = None
         self.epoch: int | None = None  # set once it stands
-        self.sent_at = 0
 
 
 class Controller:
@@ -284,8 +284,8 @@
         self.carried: set[tuple[int, int]] = set()  # tandem, destination: a call stood that way
         self.refusals: dict[tuple[str, int, int], int] = {}  # number, class, destination: first try
         self.waiting: dict[int, list[Call]] = {}  # held calls by destination
-        self.timers: dict[int, Callable[[], object]] = {}
-        self.token, self.sparse = 0, False  # sparse: some pairs have no group
+        self.timers: dict[int, tuple[int, Callable[[], object]]] = {}
+        self.token, self.stall, self.sparse = 0, 0, False  # own stall just over; whether pairs lack groups
         self.noted: dict[str, int] = {}
         self.own_down_until = 0
         self.out: list[io.Action] = []
@@ -296,9 +296,18 @@
         }  # fmt: skip
 
     def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
-        """Take the events of one moment, in order; return what to do."""
+        """Take the events of one moment; return what to do.
+
+        Danger: after a stall of our own all answers seem late, and timers run before them.  A late timer
+        tells of it: the stall is no wait of the offices.  Always, news goes first and timers last.
+        """
         self.now, self.out = now, []
-        for event in events:
+        timers = (self.timers.get(e.token, (now,)) for e in events if isinstance(e, io.TimerDue))
+        late = max((now - timer[0] for timer in timers), default=0)
+        self.stall = late if late > STALL * self.aim else 0
+        for office in self.fresh.values() if self.stall else ():
+            office.pending = {name: at + self.stall for name, at in office.pending.items()}
+        for event in sorted(events, key=lambda e: ORDER.get(type(e), 0)):
             handler = self.handlers.get(type(event))
             if handler is not None:
                 handler(event)
@@ -308,13 +317,13 @@
 
     def after(self, due: int, what: Callable[[], object]) -> None:
         self.token += 1
-        self.timers[self.token] = what
+        self.timers[self.token] = (due, what)
         self.out.append(io.SetTimer(due, self.token))
 
     def due(self, event: io.TimerDue) -> None:
-        what = self.timers.pop(event.token, None)
-        if what is not None:
-            what()
+        timer = self.timers.pop(event.token, None)
+        if timer is not None:
+            timer[1]()
 
     def note(self, kind: str, text: str) -> None:
         """A line for the people on call, at most one of a kind in NOTE_GAP."""
@@ -403,9 +412,8 @@
         self.calls.pop(call.name, None)
 
     def gone(self, name: str) -> None:
-        call = self.calls.get(name)
-        if call is not None:
-            self.finish(call, None)
+        if name in self.calls:
+            self.finish(self.calls[name], None)
 
     def refuse(self, call: Call) -> None:
         """Turn the call away; a redial costs work, so the caller is asked to stay away as long as it may."""
@@ -561,9 +569,9 @@
     def alternate(self, call: Call, numbers: Iterable[int] | None = None) -> bool:
         """One random tandem whose own leg shows room beyond the reserve; the planned route of unlinked pairs.
 
-        Danger: in a large fleet many tandems have no group to the destination, and each call turned back
-        is work at two processors.  Those that carried a call there come first, then by lot, weighted by
-        how often each sent calls of ours on.  Hurts where the pattern of groups changes within minutes.
+        Danger: many tandems have no group to the destination, and each call turned back is work at two
+        processors.  The centre's advice comes first, then those that carried a call there, then by lot,
+        weighted by how often each sent our calls on.  Hurts where groups change within minutes.
         """
         pools = self.classes[call.cls].pools
         if self.late(call):
@@ -572,7 +580,7 @@
             far = self.usable(call.dest)
             if far is None or self.held_back(call, self.shed(far, ALTERNATE_FACTOR)):
                 return False  # another tandem does not cure a destination in trouble
-        best, most = -1, 0.0
+        best, most = None, 0.0
         for number in numbers or self.groups:
             group, pair = self.groups[number], (number, call.dest)
             if not group.free or number == call.dest or number in call.tried:
@@ -586,12 +594,11 @@
                 continue
             office = self.usable(number)
             if office is not None and self.shed(office, ALTERNATE_FACTOR) <= 0.0:
-                best, most = number, lot
-        if best < 0:
+                best, most = office, lot
+        if best is None:
             return False
-        self.groups[best].systems[call.cls].arrive(self.now)
-        office = self.usable(best)
-        return office is not None and self.admitted(call, best) and self.send(call, office)
+        self.groups[best.number].systems[call.cls].arrive(self.now)
+        return self.admitted(call, best.number) and self.send(call, best)
 
     # -- the one place that sends
 
@@ -600,7 +607,6 @@
 
         Danger: in a large fleet the part is under one set-up; one each would push the office over.  Then they
         take turns, spread by their numbers; a turn lapses in half a window, so turns saved up make no burst.
-        Also paces the calls that come back at once to a district that restarted.
         """
         s, age = self.settings, self.now - office.started
         if not office.started or age >= s.cold_time:
@@ -627,12 +633,12 @@
         s = self.settings
         if call.out or call.legs >= s.attempt_cap or call.epoch is not None:
             return False  # rule 2
-        if office.state is not io.OfficeState.UP or not self.cold_room(office):
-            return False  # rules 3 and 4
         if office.number == s.own_number or (call.transit and office.number != call.dest):
             return False
-        if self.now < call.not_before or self.now >= call.expires:
-            return False  # rules 5 and 1
+        if not call.not_before <= self.now < call.expires or office.state is not io.OfficeState.UP:
+            return False  # rules 5, 1 and 3
+        if not self.cold_room(office):
+            return False  # rule 4
         self.unhold(call)
         if office.started and self.now - office.started < s.cold_time:
             office.sent.append(self.now)
@@ -674,9 +680,9 @@
         call = self.calls.get(event.call)
         if call is None or not call.out or call.legs != event.leg + 1:
             return
-        if office is not None and office.number == call.dest:
+        if office is not None and office.number == call.dest and not self.stall:
             office.timed(self.now, event.took)
-        elif office is not None:
+        elif office is not None and office.number != call.dest:
             self.rests.pop((office.number, call.dest), None)
             self.groups[office.number].sent_on += 1
             self.carried.add((office.number, call.dest))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -264,3 +264,24 @@
     assert sends(r.call(0, transit=True, hint=2)), "where some have none, transit is mostly planned"
     r.circuits(1, free=2, size=6)
     assert refused(r.call(0, transit=True, hint=2)), "but a reserve stays"
+
+
+def test_own_stall_is_not_blamed_on_the_offices() -> None:
+    r = Rig(rig.settings(), numbers=(0, 1, 2, 3))
+    for n in (1, 2, 3):
+        r.circuits(n, free=30)
+        for _ in range(3):
+            call = sends(r.call(2, dest=n))[0].call
+            r.stand(call)
+            r.end(call, io.Outcome.RELEASED, settled=True)
+    out = [sends(r.call(2, dest=n))[0].call for n in (1, 2, 3) for _ in range(2)]
+    r.now += 2 * SECOND  # nothing is heard for two seconds, then all at once, timers first
+    offers = [r.offer(2, dest=n) for n in (1, 2, 3)]
+    answers = [io.CallStands(c, *r.out[c], took=2 * SECOND) for c in out]
+    due = [io.TimerDue(token) for at, token in r.timers if at <= r.now]
+    r.timers = [(at, token) for at, token in r.timers if at > r.now]
+    got = r.give(*due, *answers, *offers)
+    assert not any(isinstance(a, io.Note) for a in got), "no office is called silent for it"
+    assert len(sends(got)) == 3, "calls that waited go out, and nothing else does"
+    r.run(r.now + 100 * MS)
+    assert sends(r.call(2, dest=1)), "the answers' age is not taken for the offices' wait"
