A linked call turned back by its one tandem is held, not sent over another

Pairs without a group and pools still try further ones. Should also hold where tandems jam; might hurt where circuits are many and processors idle.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -573,8 +573,8 @@
         processors.  The centre's advice comes first, then those that carried a call there, then by lot,
         weighted by how often each sent our calls on.  Hurts where groups change within minutes.
         """
-        pools = self.classes[call.cls].pools
-        if self.late(call):
+        pools, planned = self.classes[call.cls].pools, self.queue(call) == OVER or self.settings.pooled
+        if self.late(call) or (call.tried and call.tried[-1] != call.dest and not planned):
             return False
         if not self.settings.pooled:
             far = self.usable(call.dest)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -285,3 +285,17 @@
     assert len(sends(got)) == 3, "calls that waited go out, and nothing else does"
     r.run(r.now + 100 * MS)
     assert sends(r.call(2, dest=1)), "the answers' age is not taken for the offices' wait"
+
+
+def test_a_linked_call_turned_back_is_held_and_not_sent_over_another_tandem() -> None:
+    r = Rig(rig.settings(), numbers=(0, 1, 2, 3, 4))
+    r.circuits(1, free=0)
+    for n in (2, 3):
+        r.circuits(n, free=20)
+    first = sends(r.call(2))[0]
+    back = r.end(first.call, io.Outcome.TURNED_AWAY, io.Cause.TANDEM_REFUSED)
+    assert not sends(back) and not refused(back)
+    assert [a.office for a in sends(r.circuits(1, free=2))] == [addr(1)], "it goes direct once it can"
+    r.circuits(4, free=0, size=0)
+    first = sends(r.call(2, dest=4))[0]
+    assert sends(r.end(first.call, io.Outcome.TURNED_AWAY, io.Cause.TANDEM_REFUSED)), "the planned route goes on"
