--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -298,4 +298,4 @@
     assert [a.office for a in sends(r.circuits(1, free=2))] == [addr(1)], "it goes direct once it can"
     r.circuits(4, free=0, size=0)
     first = sends(r.call(2, dest=4))[0]
-    assert sends(r.end(first.call, io.Outcome.TURNED_AWAY, io.Cause.TANDEM_REFUSED)), "the planned route goes on"
+    assert sends(r.end(first.call, io.Outcome.TURNED_AWAY, io.Cause.TANDEM_REFUSED)), "planned: goes on"
