--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -609,7 +609,7 @@
         take turns, spread by their numbers; a turn lapses in half a window, so turns saved up make no burst.
         """
         s, age = self.settings, self.now - office.started
-        if not office.started or age >= s.cold_time:
+        if not office.started or age >= s.cold_time or not s.cold_window:
             return True
         while office.sent and office.sent[0] <= self.now - s.cold_window:
             office.sent.popleft()
@@ -619,9 +619,9 @@
         part = COLD_CAUTION * s.cold_multiple * s.cold_share * rate * s.cold_window / SECOND / s.controllers
         if part >= 1.0:
             return len(office.sent) < part
-        period = s.cold_window / part
+        period = s.cold_window / max(part, 1e-9)
         turn = (age - s.ordinal / s.controllers * period) % period
-        if turn <= min(age, s.cold_window / 2) and not office.sent:
+        if turn <= min(age, s.cold_window / 2) and part > 0 and not office.sent:
             return True
         if self.now >= office.wake:
             office.wake = self.now + int(period - turn) + 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -157,3 +157,12 @@
     limit = s.cold_multiple * s.cold_share * (rate or 8.0) * s.cold_window / SECOND
     assert max(sum(at - s.cold_window < t <= at for t in got) for at in got) <= limit
     assert len(got) >= 0.5 * limit * 4, "and most of what it may have is used"
+
+
+def test_a_cold_office_with_no_window_or_no_multiple_told_is_served_without_an_exception() -> None:
+    for changes in ({"cold_window": 0}, {"cold_multiple": 0.0}):
+        r = Rig(rig.settings(controllers=100, **changes))
+        r.circuits(1, free=20)
+        r.told(io.ListKind.CHANGES, entry(1, started=r.now))
+        r.run(r.now + SECOND)
+        assert bool(sends(r.call(2))) == ("cold_window" in changes)
