--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -312,3 +312,20 @@
     assert got <= 3, "what no path answers is the own processor's wait"
     r.stand(next(iter(reversed(r.out))), took=20 * MS)  # the last one sent is answered: the others are jammed
     assert all(sends(r.call(0, dest=n)) for n in range(6, 12)), "and the paths that answer are used"
+
+
+def test_what_a_processor_asked_holds_until_its_next_word_is_due() -> None:
+    r = Rig(rig.settings(), numbers=(0, 1))
+    r.circuits(1, free=400, size=400)
+    asks = io.LoadReport(free=400, size=400, reduce=0.9)
+    call = sends(r.call(0))[0].call
+    r.stand(call)
+    r.end(call, io.Outcome.RELEASED, settled=True, report=asks)
+    r.run(r.now + 4 * SECOND)
+    got = sum(bool(sends(r.call(0))) for _ in range(20))
+    assert got <= 8, "one word in seconds is all that a sparse pair hears: it is not forgotten at once"
+    for call in list(r.out):
+        r.stand(call)
+        r.end(call, io.Outcome.RELEASED, settled=True)
+    r.run(r.now + 60 * SECOND)
+    assert all(sends(r.call(2)) for _ in range(2)), "nor kept for good"
