Given up means answered at once: a blocked call waits only while a way is likely to open in time; sends to an office found silent are called off

hold() says what it waits for (circuits at the group's release rate behind those ahead, a turn at a cold office, a tandem's rest, a queue that empties in its own length, a trial) and refuses once that falls short; from one chance in four on a way counts as likely. pause is when a way is likely to open, a second at least. Own wait is read from sends that no later answer overtook alone.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -1,8 +1,7 @@
 """Every decision of the controller.  Its types, events and actions: eiderstep/interface.py.
 
-The ordinary path is the loss system of arXiv 2202.02419, one for each own trunk group and class,
-with our companion for routes (docs/design.md).  The rest are guards, for when things fail.
-Read handle() first, then offered(), choose() and send().
+The ordinary path is the loss system of arXiv 2202.02419, one for each own trunk group and class, with our
+companion for routes (docs/design.md); the rest are guards.  Read handle() first, then choose() and send().
 """
 
 from __future__ import annotations
@@ -16,15 +15,15 @@
 from eiderstep import interface as io
 
 SECOND = 1_000_000_000
-MS = 1_000_000
 
-# The loss systems and the price
+# Loss systems and the price
 WINDOW_HOLDS = 3.0  # holding times; older gaps say little of the present traffic
 WINDOW_NOTES = 256  # gaps; bounds the work of one test
 THIN_RELEASES = 4  # in the window; with fewer the estimate is off by half or more (1 / root of their number)
 EXPLORE_BASE = 20.0  # f(0); a refused class is tried once in so many calls, so a bar once set still holds
 EXPLORE_POWER = 0.6  # 1 - epsilon of the paper's f(n) = exp(n^(1 - epsilon))
 ALPHA_HALF = 2.0  # holding times in which alpha halves: traffic drifts, so old exploring counts less
+CHANCE_Z = 0.674  # of the normal distribution: a way counts as likely from one chance in four on
 
 # The companion
 RESERVE_FLOOR = 0.5  # roots of the group's size kept, one widest class at most, where pairs lack groups
@@ -36,20 +35,16 @@
 WAIT_FULL = 0.6  # share of the shortest aim; from here on all but trial calls are shed
 ALTERNATE_FACTOR = 0.5  # alternates cost work at one more processor: they stop at this share of the waits
 EVIDENCE_LIFE = 1 * SECOND  # in which word of a processor's wait loses 63% of its weight
-LAG_GAIN, VAR_GAIN = 1 / 8, 1 / 4  # RFC 6298
-RTO_VARS = 4.0  # RFC 6298
-WITNESSES = 3  # answers, or unanswered sends to different offices, that tell of the own processor
+LAG_GAIN, VAR_GAIN, RTO_VARS = 1 / 8, 1 / 4, 4.0  # RFC 6298
+WITNESSES = 3  # offices whose unanswered set-ups tell of the own processor
 PENDING_FREE = 2  # unanswered set-ups to one office that say nothing yet of a queue
 ANSWER_HALF = 5 * SECOND  # in which half the answers are forgotten, to know an office's usual pace
 STALL = 0.1  # shortest aims; a timer later than this tells of a stall of our own
 SHED_CAP = 0.97  # share; some calls always go, to learn that the trouble is over
 
-# Silence
 SILENT_SENDS = 2  # sends past their time-out, with no answer between, that open the breaker
 OWN_DOWN = SECOND // 2  # between trials while the own processor is down
-BACKOFF_START = 1 * SECOND
-BACKOFF_CAP = 4 * SECOND
-BACKOFF_JITTER = 0.25  # share
+BACKOFF_START, BACKOFF_CAP, BACKOFF_JITTER = 1 * SECOND, 4 * SECOND, 0.25  # the last a share
 
 # Cold offices
 COLD_CAUTION = 0.8  # share of this controller's part of the budget that is used
@@ -60,6 +55,7 @@
 TURNED_BACK_CAP = 8.0  # times the first rest
 
 LIST_RETRY = 2 * SECOND
+RECHECK = SECOND // 50  # the least time between two estimates of when a way opens
 OVER = -2  # where calls without a group to their destination are held
 NOTE_GAP = 5 * SECOND  # between two log lines about one thing
 
@@ -88,8 +84,8 @@
     def life(self, now: int) -> float:
         """How long word of the kind just counted holds (ns): until the next one is due, at the least.
 
-        Danger: where a pair sees a call in five seconds, word that is forgotten in one says nothing most of
-        the time, and a jammed processor never empties.  Hurts where trouble ends between two words.
+        Danger: where a pair sees a call in five seconds, word forgotten in one is mostly no word, and a
+        jammed processor never empties.  Hurts where trouble ends between two words.
         """
         return max(EVIDENCE_LIFE, SECOND / self.rate(now))
 
@@ -102,19 +98,25 @@
 
     def __init__(self, mean_hold: int) -> None:
         self.life = int(WINDOW_HOLDS * mean_hold)
-        self.notes: deque[tuple[int, float, int, int]] = deque(maxlen=WINDOW_NOTES)
+        self.notes: deque[tuple[int, float, int, int]] = deque()
         self.last: int | None = None
+        self.releases, self.exposure = 0, 0.0  # sums over the notes; call-seconds
         self.standing = self.base = self.left = self.epoch = 0
         self.alpha = Fading(ALPHA_HALF * mean_hold)
 
     def arrive(self, now: int) -> None:
         """Note the gap since the last arrival, who survived it and who departed in it."""
         if self.last is not None and now > self.last and self.base + self.left > 0:
-            self.notes.append((now, (now - self.last) / SECOND, self.base, self.left))
+            self.note((now, (now - self.last) / SECOND, self.base, self.left))
         self.last, self.base, self.left = now, self.standing, 0
         self.epoch += 1
-        while self.notes and self.notes[0][0] < now - self.life:
-            self.notes.popleft()
+        while self.notes and (self.notes[0][0] < now - self.life or len(self.notes) > WINDOW_NOTES):
+            _, gap, survivors, departures = self.notes.popleft()
+            self.releases, self.exposure = self.releases - departures, self.exposure - gap * survivors
+
+    def note(self, note: tuple[int, float, int, int]) -> None:
+        self.notes.append(note)
+        self.releases, self.exposure = self.releases + note[3], self.exposure + note[1] * note[2]
 
     def began(self) -> int:
         """A call stands; the epoch returned goes with it."""
@@ -122,10 +124,9 @@
         return self.epoch
 
     def ended(self, epoch: int, released: bool) -> None:
-        """A call ended.
+        """A call ended.  Danger: mass cuts taken for releases look like short calls, and every class passes.
 
-        Danger: a cut is no release; taken for one, mass cuts look like short calls and every class
-        passes while redials refill the group.  A cut call is censored: it leaves the sums unseen.
+        So a cut call is censored: it leaves the sums unseen.
         """
         self.standing -= 1
         if epoch < self.epoch:
@@ -133,22 +134,16 @@
             self.left += released
 
     def knows(self) -> bool:
-        """Whether the window holds releases enough to be asked.
+        """Whether it holds releases enough: on one or two the estimate swings across the bar, so all pass.
 
-        Danger: on one or two the estimate of a thin class swings across the bar.  Until then it passes, so it
-        might hurt where a thin class of little worth meets a dear one.
+        That might hurt where a thin class of little worth meets a dear one.
         """
-        return sum(note[3] for note in self.notes) >= THIN_RELEASES
+        return self.releases >= THIN_RELEASES
 
     def beats(self, bar: float) -> bool:
         """The likelihood test: is the release rate above the bar (per second)?"""
-        drive = hold = 0.0
-        for _, gap, survivors, departures in self.notes:
-            if departures:
-                x = bar * gap
-                drive += departures * gap / math.expm1(x) if x < 700 else 0.0
-            hold += survivors * gap
-        return drive > hold
+        told = ((gap, departures) for _, gap, _, departures in self.notes if departures and bar * gap < 700)
+        return sum(departures * gap / math.expm1(bar * gap) for gap, departures in told) > self.exposure
 
 
 class Group:
@@ -157,24 +152,31 @@
     def __init__(self, classes: tuple[io.CallClass, ...]) -> None:
         self.free: int | None = None
         self.size: int | None = None
+        self.linked = True
         self.asked, self.sent_on = 2.0, 1.0  # calls sent over it as a tandem, and those that stood
         self.systems = [LossSystem(c.mean_hold) for c in classes]
+        self.usual_rate = SECOND * len(classes) / sum(c.mean_hold for c in classes)  # releases a call-second
         self.blocks = Fading(BLOCK_HALF * max(c.mean_hold for c in classes))
 
     def told(self, report: io.LoadReport) -> None:
         """Only reports say what is free: the group is shared with the far end."""
         self.free = self.free if report.free is None else report.free
         self.size = self.size if report.size is None else report.size
+        self.linked = self.size != 0  # a pair told a size of nought is planned over a tandem
 
-    def linked(self) -> bool:
-        """Whether there is a group at all: a pair told a size of nought is planned over a tandem."""
-        return self.size != 0
+    def opening(self, circuits: float) -> float:
+        """How soon so many circuits are released (ns), with one chance in four, at the rate seen of late."""
+        releases, exposure = sum(s.releases for s in self.systems), sum(s.exposure for s in self.systems)
+        rate = releases / exposure if releases >= THIN_RELEASES and exposure > 0 else self.usual_rate
+        k = max(circuits, 0.1)  # the k-th release of a steady stream; Wilson and Hilferty's cube root
+        gaps = k * max(1 - 1 / (9 * k) - CHANCE_Z / (3 * math.sqrt(k)), 0.0) ** 3
+        return gaps / max(((self.size or 0) - (self.free or 0)) * rate, 1e-9) * SECOND
 
     def reserve(self, now: int, widest: int, sparse: bool = False) -> float:
-        """Circuits kept from transit and alternates; grows as direct calls are blocked.
+        """Circuits kept from transit and alternates: one widest class, growing as direct calls are blocked.
 
-        Floor: one widest class; where pairs lack groups (sparse), a share of the root of the size.  Danger:
-        planned transit is shut out of thin groups.  Hurts in overload, where it displaces direct calls.
+        Where pairs lack groups (sparse) the floor is a share of the root of the size: planned transit would
+        be shut out of thin groups.  Hurts in overload, where it displaces direct calls.
         """
         root, grown = math.sqrt(self.size or 0), 1.0 - math.exp(-self.blocks.read(now) / RESERVE_BLOCKS)
         return (min(RESERVE_FLOOR * root, widest) if sparse else widest) + grown * root
@@ -193,6 +195,7 @@
         self.wait_life = self.excess_life = float(EVIDENCE_LIFE)
         self.since, self.silent, self.opened = 0, 0, False  # own sends since the last report; breaker
         self.retry_at = self.backoff = self.wake = 0
+        self.turn = 0.0  # while it is cold: time between our set-ups (ns)
         self.trial: str | None = None
         self.answers = Fading(ANSWER_HALF)
         self.pending: dict[str, int] = {}  # unanswered set-ups and when they were sent, oldest first
@@ -235,25 +238,24 @@
             self.words.add(now)
             self.wait_life = self.words.life(now)
 
-    def delay(self, now: int) -> float:
+    def delay(self, now: int, crowd: bool = True) -> float:
         """Expected wait at its processor (ns): the fresher of report and own evidence weighs more."""
-        told = self.wait * math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
-        if self.rate:
-            told += self.since / self.rate * SECOND * math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
+        told = self.wait + (self.since / self.rate * SECOND if self.rate else 0.0)
+        told *= math.exp(-(now - self.wait_at) / EVIDENCE_LIFE)
         # Danger: reports can be seconds old and say so nowhere; a set-up answered just now knows better.
         stale = 1.0 - math.exp(-(now - self.excess_at) / EVIDENCE_LIFE)
-        return max(told * stale, self.lag(now))
+        return max(told * stale, self.lag(now, crowd))
 
-    def lag(self, now: int) -> float:
+    def lag(self, now: int, crowd: bool) -> float:
         """Own evidence of the wait on the way there and back (ns).
 
-        Danger: word of a jam comes only when the jam lets an answer through; what is
-        still unanswered tells sooner, and a crowd sent at once tells before any of it is due.
+        Danger: word of a jam comes only when the jam lets an answer through; what is still unanswered tells
+        sooner, and a crowd sent at once tells before any of it is due.
         """
         seen = self.excess * math.exp(-(now - self.excess_at) / self.excess_life)
         age = now - next(iter(self.pending.values()), now) - self.base
         pace = max(self.answers.rate(now), math.log(2) / ANSWER_HALF * SECOND)
-        return max(seen, age, (len(self.pending) - PENDING_FREE) / pace * SECOND)
+        return max(seen, age, (len(self.pending) - PENDING_FREE) / pace * SECOND if crowd else 0.0)
 
 
 class OwnProcessor:
@@ -262,42 +264,33 @@
     def __init__(self) -> None:
         self.down_until = 0
         self.unheard: deque[tuple[int, int]] = deque()  # sends later than any answered one: when, whereto
-        self.excess: deque[float] = deque(maxlen=WITNESSES)  # of the last answers
-        self.excess_at = 0
 
-    def heard(self, now: int, sent: int, excess: float | None) -> None:
+    def heard(self, sent: int) -> None:
         """A set-up sent then was answered: it got through, so did all before it."""
         while self.unheard and self.unheard[0][0] <= sent:
             self.unheard.popleft()
-        if excess is not None:
-            self.excess.append(excess)
-            self.excess_at = now
 
     def wait(self, now: int) -> float:
-        """What all paths wait (ns): the least of the last answers', and the age of sends that none overtook.
+        """What all paths wait (ns): the age of sends to several offices that no later one's answer overtook.
 
         Danger: an office that was sent to just now says nothing yet, and among many there always is one;
         a single unanswered send tells of its office only.  Also covers a jam by incoming calls, a cut of all
-        links and a hung own processor.  Hurts a controller whose few offices are all in trouble themselves.
+        links and a hung own processor.  Hurts a controller whose few offices are all in trouble.
         """
-        seen = min(self.excess) * math.exp(-(now - self.excess_at) / EVIDENCE_LIFE) if self.excess else 0.0
-        others: set[int] = set()
-        for sent, number in self.unheard:
-            others.add(number)
-            if len(others) == WITNESSES:
-                return max(seen, now - sent)
-        return seen
+        others = dict(reversed([(number, sent) for sent, number in self.unheard]))  # the oldest of each
+        ages = sorted((now - sent for sent in others.values()), reverse=True)
+        return ages[WITNESSES - 1] if len(ages) >= WITNESSES else 0.0
 
 
 class Call:
     """One call that this controller owes an answer, or that stands."""
 
-    def __init__(self, offer: io.CallOffered, now: int) -> None:
-        self.born, self.held, self.number, self.sent_at = now, False, offer.number, 0
+    def __init__(self, offer: io.CallOffered, now: int, order: int) -> None:
         self.name, self.cls, self.dest, self.width = offer.call, offer.class_no, offer.dest, offer.width
         self.expires, self.transit, self.hint = offer.expires, offer.transit, offer.hint
-        self.was_cut = offer.was_cut
-        self.legs, self.out, self.not_before = 0, False, 0
+        self.number, self.was_cut, self.born, self.order = offer.number, offer.was_cut, now, order
+        self.legs, self.out, self.sent_at, self.not_before, self.recheck = 0, False, 0, 0, 0
+        self.held: int | None = None  # the queue it waits in
         self.tried: list[int] = []
         self.group: int | None = None
         self.epoch: int | None = None  # set once it stands
@@ -313,13 +306,12 @@
             raise ValueError("each class needs a width, a worth, an aim and a mean holding time")
         if not 0 < settings.cold_share <= 1:
             raise ValueError("the cold share must be above 0 and at most 1")
-        self.settings, self.rng, self.now = settings, Random(seed), 0
-        self.classes = settings.classes
+        self.settings, self.classes, self.rng, self.now = settings, settings.classes, Random(seed), 0
         self.widest = max(c.width for c in self.classes)
         self.values = [c.worth / (c.width * c.mean_hold / SECOND) for c in self.classes]
         self.top_value = max(self.values)  # worth for each circuit-second, as are the values
         self.aim = min(c.aim for c in self.classes)
-        self.seen = [Fading(5 * SECOND) for _ in self.classes]
+        self.seen = [(c, Fading(5 * SECOND)) for c in self.classes]
         self.offices: dict[str, Office] = {}
         self.by_number: dict[int, str] = {}
         self.groups: dict[int, Group] = {}
@@ -337,7 +329,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             io.OfficeList: self.listed, io.CallOffered: self.offered, io.CallStands: self.stands,
             io.AttemptEnded: self.ended, io.OfficeHeard: self.heard, io.TimerDue: self.due,
-            io.CallGone: lambda event: self.gone(event.call),
+            io.CallGone: lambda event: self.finish(self.calls.get(event.call), None),
         }  # fmt: skip
 
     def handle(self, now: int, events: list[io.Event]) -> list[io.Action]:
@@ -360,17 +352,13 @@
                 handler(event)
         return self.out
 
-    # -- timers and log lines
-
     def after(self, due: int, what: Callable[[], object]) -> None:
         self.token += 1
         self.timers[self.token] = (due, what)
         self.out.append(io.SetTimer(due, self.token))
 
     def due(self, event: io.TimerDue) -> None:
-        timer = self.timers.pop(event.token, None)
-        if timer is not None:
-            timer[1]()
+        self.timers.pop(event.token, (0, lambda: None))[1]()
 
     def note(self, kind: str, text: str) -> None:
         """A line for the people on call, at most one of a kind in NOTE_GAP."""
@@ -378,8 +366,6 @@
             self.noted[kind] = self.now
             self.out.append(io.Note(text))
 
-    # -- the list
-
     def listed(self, event: io.OfficeList) -> None:
         s = self.settings
         if event.kind is io.ListKind.FAILED:
@@ -396,10 +382,8 @@
             elif office.state is io.OfficeState.UP and entry.state is not io.OfficeState.UP:
                 self.note(f"drain {entry.number}", f"office {entry.number} drains or is gone")
             office.state = entry.state
-        if event.kind is not io.ListKind.CHANGES:
-            for office in self.offices.values():
-                if office.name not in named:
-                    office.state = io.OfficeState.GONE
+        for office in self.offices.values() if event.kind is not io.ListKind.CHANGES else ():
+            office.state = office.state if office.name in named else io.OfficeState.GONE
         self.offices = {n: o for n, o in self.offices.items() if o.state is not io.OfficeState.GONE}
         self.by_number = {}
         # Of two machines with one number the older, warm one serves until it drains.
@@ -409,34 +393,28 @@
                 if office.number != s.own_number:
                     self.groups.setdefault(office.number, Group(self.classes))
 
-    # -- what the offices tell
-
     def heard(self, event: io.OfficeHeard) -> None:
         office = self.offices.get(event.office)
-        if office is None:
-            return
-        self.learn(office, event.report)
-        self.serve(office.number)
-        if event.answered and not event.unasked:
-            office.answered(self.now)
+        if office is not None:
+            self.learn(office, event.report)
+            self.serve(office.number)
+            if event.answered and not event.unasked:
+                office.answered(self.now)
 
     def learn(self, office: Office, report: io.LoadReport | None) -> None:
-        if report is None:
-            return
         group = self.groups.get(office.number)
-        if group is not None:
+        if report is not None and group is not None:
             group.told(report)
-            self.sparse |= not group.linked()
-        office.report(self.now, report)
-
-    # -- calls
+            self.sparse |= not group.linked
+        if report is not None:
+            office.report(self.now, report)
 
     def offered(self, event: io.CallOffered) -> None:
         if event.call in self.calls or not 0 <= event.class_no < len(self.classes):
             self.out.append(io.Refuse(event.call))
             return
-        call = self.calls[event.call] = Call(event, self.now)
-        self.seen[call.cls].add(self.now)
+        call = self.calls[event.call] = Call(event, self.now, self.token)
+        self.seen[call.cls][1].add(self.now)
         key = (call.number, call.cls, call.dest)
         if not call.transit and key in self.refusals:
             call.born = self.refusals[key]
@@ -452,103 +430,144 @@
         if call is not None and call.epoch is None:
             self.finish(call, io.Abandon(name))
 
-    def finish(self, call: Call, answer: io.Action | None) -> None:
-        self.unhold(call)
-        if answer is not None:
-            self.out.append(answer)
-        self.calls.pop(call.name, None)
-
-    def gone(self, name: str) -> None:
-        if name in self.calls:
-            self.finish(self.calls[name], None)
+    def finish(self, call: Call | None, answer: io.Action | None) -> None:
+        if call is not None:
+            self.unhold(call)
+            self.out += [answer] if answer is not None else []
+            self.calls.pop(call.name, None)
 
     def refuse(self, call: Call) -> None:
-        """Turn the call away; a redial costs work, so the caller is asked to stay away as long as it may."""
+        """Turn the call away, and tell when coming back may help: when a way is likely to open."""
         if call.number and not call.transit:
             key, born, keep = (call.number, call.cls, call.dest), call.born, self.classes[call.cls].give_up
             self.refusals[key] = born
             self.after(self.now + keep, lambda: self.refusals.get(key) == born and self.refusals.pop(key))
-        pause = self.settings.max_pause if self.settings.may_pause and not call.transit else 0
-        self.finish(call, io.Refuse(call.name, pause))
+        tells = self.settings.may_pause and not call.transit
+        pause = min(max(self.opens(call), EVIDENCE_LIFE), self.settings.max_pause) if tells else 0
+        self.finish(call, io.Refuse(call.name, int(pause)))
 
     def late(self, call: Call) -> bool:
-        """Whether the caller's aim has passed.
+        """Whether the caller's aim has passed, told by the number called.
 
-        Danger: redials of calls refused a moment ago fill the circuits for a fraction of the worth.
-        Told by the number called; so it also thins out storms on one number.
-        Hurts where many call one number.
+        Danger: redials of calls refused a moment ago fill the circuits for a fraction of the worth.  It also
+        thins out storms on one number.  Hurts where many call one number.
         """
         return not call.transit and self.now - call.born >= self.classes[call.cls].aim
 
     def shed(self, office: Office | None, factor: float = 1.0) -> float:
         """Share of set-ups to hold back from a processor, by its wait and by what it asks."""
-        if office is None:
-            return 0.0
-        if self.now < office.full_until:
-            return SHED_CAP
-        easy, full = WAIT_EASY * self.aim * factor, WAIT_FULL * self.aim * factor
-        by_wait = (office.delay(self.now) - easy) / (full - easy)
+        if office is None or self.now < office.full_until:
+            return 0.0 if office is None else SHED_CAP
+        by_wait = self.pressed(office.delay(self.now), factor)
         asked = office.reduce * math.exp(-(self.now - office.wait_at) / (2 * office.wait_life)) / factor
         return min(max(by_wait, asked, 0.0), SHED_CAP)
 
     def own_shed(self) -> float:
         """The own processor is on every path: what all paths wait is its wait."""
-        share = (self.own.wait(self.now) - WAIT_EASY * self.aim) / ((WAIT_FULL - WAIT_EASY) * self.aim)
+        share = self.pressed(self.own.wait(self.now))
         return SHED_CAP if self.now < self.own.down_until else min(max(share, 0.0), SHED_CAP)
 
+    def pressed(self, wait: float, factor: float = 1.0) -> float:
+        return (wait / (self.aim * factor) - WAIT_EASY) / (WAIT_FULL - WAIT_EASY)
+
     def held_back(self, call: Call, share: float) -> bool:
         """Thin the offered calls by a share, least worth first."""
         if share <= 0.0:
             return False
-        worth = self.classes[call.cls].worth
-        total = sum(s.read(self.now) for s in self.seen)
-        below = sum(s.value for c, s in zip(self.classes, self.seen, strict=True) if c.worth < worth)
-        level = sum(s.value for c, s in zip(self.classes, self.seen, strict=True) if c.worth == worth)
-        return self.rng.random() < (share * total - below) / max(level, 1e-9)
+        worth, seen = self.classes[call.cls].worth, [(c.worth, s.read(self.now)) for c, s in self.seen]
+        below, level = sum(n for w, n in seen if w < worth), sum(n for w, n in seen if w == worth)
+        return self.rng.random() < (share * sum(n for _, n in seen) - below) / max(level, 1e-9)
 
     def hold(self, call: Call) -> bool:
-        """Keep a blocked call until a circuit is free, while it can still stand within its aim.
+        """Keep a blocked call while a way is likely to open for it in time; asked again as that changes.
 
-        Danger: refused at once it redials, costs work again, and stands late if at all.  Also covers
-        short losses of circuits and floods at one controller.  Hurts where callers leave early.
+        It waits for circuits, a turn at a cold office, the rest of a tandem, a queue that empties, or a trial
+        of a silent or the own processor.  Danger: where none comes in time, waiting only keeps the caller
+        from redialling.  Hurts where releases come in bursts: the estimate takes them for steady.
         """
         office = self.offices.get(self.by_number.get(call.dest, ""))
         setup = office.srtt + RTO_VARS * office.var if office is not None else 0.0
         until = min(call.born + self.classes[call.cls].aim, call.expires) - int(setup)
-        if call.transit or until <= self.now:
+        opens = self.opens(call)
+        if call.transit or self.now + opens >= until:
             return False
-        if not call.held:
-            call.held = True
-            self.waiting.setdefault(self.queue(call), []).append(call)
-            self.after(until, lambda: self.refuse(call) if call.held else None)
+        if call.held is None:
+            call.held = self.queue(call)
+            self.waiting.setdefault(call.held, []).append(call)
+        due = max(until - int(opens), self.now + RECHECK)
+        if not self.now < call.recheck <= due:
+            call.recheck = due
+            self.after(due, lambda: self.again(call))
         return True
 
+    def opens(self, call: Call) -> float:
+        """When a way is likely to open for a blocked call, those ahead of it served (ns from now)."""
+        queue, own = self.queue(call), self.own.wait(self.now) - WAIT_EASY * self.aim
+        ahead = [c for c in self.waiting.get(queue, ()) if c is not call and self.rank(c) < self.rank(call)]
+        numbers = self.groups if queue == OVER else (call.dest,)
+        least = max(self.own.down_until - self.now, call.not_before - self.now, own)
+        return least if least > 0 else min((self.opening(call, n, ahead) for n in numbers), default=math.inf)
+
+    def opening(self, call: Call, number: int, ahead: list[Call]) -> float:
+        """The same for one way: a trial, circuits, a queue emptied in its own length, a cold turn."""
+        office, group = self.offices.get(self.by_number.get(number, "")), self.groups.get(number)
+        if office is None or group is None or group.free is None or not group.linked:
+            return math.inf
+        if office.opened:
+            return math.inf if ahead or office.trial is not None else max(office.retry_at - self.now, 0)
+        circuits = call.width + sum(c.width for c in ahead) - group.free
+        until = max(self.rests.get((number, call.dest), (0, 0.0))[0], office.full_until) - self.now
+        if number != call.dest:
+            circuits += math.ceil(group.reserve(self.now, self.widest, self.sparse))
+        elif circuits <= 0 and not self.admitted(call, number, False):
+            circuits += self.widest + 1 - call.width  # the price is nought from there on
+        pressed = max(office.delay(self.now, False) - WAIT_EASY * self.aim, until, 0.0)
+        if len(office.pending) > PENDING_FREE:  # as many as are out are answered in one response time
+            rounds = 1 + len(ahead) // len(office.pending)
+            pressed = max(pressed, rounds * (office.srtt or WAIT_EASY * self.aim))
+        if circuits > 0:
+            return max(group.opening(circuits), pressed)
+        if self.cold_room(office):
+            return pressed or math.inf
+        return max(office.wake - self.now, 0) + len(ahead) * office.turn
+
+    def rank(self, call: Call) -> tuple[bool, float, int, int]:
+        """Of held calls those that were cut go first, then those of most worth for each circuit-second."""
+        return (not call.was_cut, -self.values[call.cls], call.born, call.order)
+
     def unhold(self, call: Call) -> None:
-        if call.held:
-            call.held = False
-            self.waiting[self.queue(call)].remove(call)
+        if call.held is not None:
+            self.waiting[call.held].remove(call)
+            call.held = None
 
     def queue(self, call: Call) -> int:
         """Where the call is held: by its destination, or with all those that have no group to it."""
         group = self.groups.get(call.dest)
-        return call.dest if group is not None and group.linked() else OVER
+        return call.dest if group is not None and group.linked else OVER
 
     def serve(self, number: int) -> None:
-        """Circuits toward an office may be free: calls that were cut go first, then those of most worth.
+        """Circuits toward an office may be free: held calls go, also those without a group of their own."""
+        held = self.waiting.get(number, []) + self.waiting.get(OVER, [])
+        if held and number in self.groups and self.usable(number):
+            for call in sorted(held, key=self.rank):
+                self.again(call, number)
 
-        Only once nothing on the way is pressed: held calls that drew lots again and again would undo
-        the shedding.  Held calls of pairs without a group go over any tandem that gets room.
+    def again(self, call: Call, number: int | None = None) -> None:
+        """Try a held call again, over one office or any; it is refused once no way is likely to open in time.
+
+        It goes only while nothing on the way is pressed: held calls that drew lots again and again would undo
+        the shedding.
         """
-        held = self.waiting.get(number, []) + self.waiting.get(OVER, [])
-        if not held or number not in self.groups or not self.usable(number) or self.own_shed() > 0:
+        if call.held is None:
             return
-        for call in sorted(held, key=lambda c: (not c.was_cut, -self.values[c.cls], c.born)):
-            if self.shed(self.usable(call.dest)) > 0:
-                continue
-            if call.dest == number:
-                self.direct(call, first=False)
-            elif self.groups[number].free:
-                self.alternate(call, [number])
+        own = number in (None, call.dest)
+        if self.own_shed() <= 0 and self.shed(self.usable(call.dest)) <= 0:
+            if own and self.direct(call, first=False):
+                return
+            if number != call.dest and self.alternate(call, None if number is None else [number]):
+                return
+        if own and not self.hold(call):
+            self.refuse(call)
 
     def admitted(self, call: Call, number: int, explore: bool = True) -> bool:
         """The design's test on one own group, with room for the call."""
@@ -562,10 +581,8 @@
             return True
         if system.beats(price * call.width / max(self.classes[call.cls].worth, 1e-9)):
             return True
-        if not explore:
-            return False
-        alpha = system.alpha.read(self.now)
-        if self.rng.random() * EXPLORE_BASE * math.exp(min(alpha, 1e3) ** EXPLORE_POWER) >= 1.0:
+        f = EXPLORE_BASE * math.exp(min(system.alpha.read(self.now), 1e3) ** EXPLORE_POWER)
+        if not explore or self.rng.random() * f >= 1.0:
             return False
         system.alpha.add(self.now, float(system.standing == 0))
         return True
@@ -581,20 +598,18 @@
         """Where the call goes now: direct, over one random tandem, or nowhere."""
         if self.calls.get(call.name) is not call or call.out:
             return  # it ended while its release was awaited
-        if not call.tried and self.held_back(call, self.own_shed()):
-            if self.late(call) or not self.hold(call):
-                self.refuse(call)
-            return
-        if call.dest not in call.tried and self.direct(call):
-            return
-        if call.transit or call.legs >= self.settings.attempt_cap or not self.alternate(call):
-            if not self.hold(call):
-                self.refuse(call)
+        if call.tried or not self.held_back(call, self.own_shed()):
+            if call.dest not in call.tried and self.direct(call):
+                return
+            if not call.transit and call.legs < self.settings.attempt_cap and self.alternate(call):
+                return
+        if not self.hold(call):
+            self.refuse(call)
 
     def direct(self, call: Call, first: bool = True) -> bool:
         """Try the group to the destination itself (or the pool of first choice)."""
         group = self.groups.get(call.dest)
-        if group is None or not group.linked():
+        if group is None or not group.linked:
             return False
         if first:
             group.systems[call.cls].arrive(self.now)
@@ -644,8 +659,6 @@
         self.groups[best.number].systems[call.cls].arrive(self.now)
         return self.admitted(call, best.number) and self.send(call, best)
 
-    # -- the one place that sends
-
     def cold_room(self, office: Office) -> bool:
         """Rule 4: this controller's part of what all may send a cold office in a window.
 
@@ -661,14 +674,15 @@
         # Where nobody tells a rate: an office takes as many set-ups as it sends out, and works on both.
         rate = sum(rates) / len(rates) if rates else max(2 * self.answers.rate(self.now), COLD_UNKNOWN)
         part = COLD_CAUTION * s.cold_multiple * s.cold_share * rate * s.cold_window / SECOND / s.controllers
-        if part >= 1.0:
-            return len(office.sent) < part
         period = s.cold_window / max(part, 1e-9)
         turn = (age - s.ordinal / s.controllers * period) % period
-        if turn <= min(age, s.cold_window / 2) and part > 0 and not office.sent:
+        if part < 1.0 and turn <= min(age, s.cold_window / 2) and part > 0 and not office.sent:
+            return True
+        if part >= 1.0 and len(office.sent) < part:
             return True
         if self.now >= office.wake:
-            office.wake = self.now + int(period - turn) + 1
+            until = office.sent[0] + s.cold_window if part >= 1.0 else self.now + int(period - turn)
+            office.wake, office.turn = until + 1, period
             self.after(office.wake, lambda: self.serve(office.number))
         return False
 
@@ -679,10 +693,9 @@
             return False  # rule 2
         if office.number == s.own_number or (call.transit and office.number != call.dest):
             return False
-        if not call.not_before <= self.now < call.expires or office.state is not io.OfficeState.UP:
-            return False  # rules 5, 1 and 3
-        if not self.cold_room(office):
-            return False  # rule 4
+        up = office.state is io.OfficeState.UP
+        if not (call.not_before <= self.now < call.expires and up and self.cold_room(office)):
+            return False  # rules 5, 1, 3 and 4
         self.unhold(call)
         if office.started and self.now - office.started < s.cold_time:
             office.sent.append(self.now)
@@ -694,8 +707,7 @@
         call.tried.append(office.number)
         office.pending[call.name] = self.now
         self.own.unheard.append((self.now, office.number))
-        leg = call.legs
-        call.legs += 1
+        leg, call.legs = call.legs, call.legs + 1
         office.since += 1
         if office.opened:
             office.trial = call.name
@@ -705,14 +717,26 @@
         return True
 
     def unanswered(self, call: Call, leg: int, office: Office) -> None:
-        """A send is past its time-out: the office may be silent."""
-        if office.opened and office.trial != call.name:
-            return  # one burst of unanswered set-ups must not double the pause over and over
-        if call.out and call.legs == leg + 1 and call.epoch is None and office.heard_at < call.sent_at:
-            if office.silence(self.now, self.rng):
-                self.note(f"silent {office.number}", f"office {office.number} is silent: no calls to it")
-
-    # -- what becomes of attempts
+        """A send is past its time-out: the office may be silent.  Then all such sends are given up."""
+        if not call.out or call.legs != leg + 1 or call.epoch is not None or call.name not in self.calls:
+            return
+        # One burst of unanswered set-ups must not double the pause over and over.
+        counts = office.heard_at < call.sent_at and (not office.opened or office.trial == call.name)
+        if counts and office.silence(self.now, self.rng):
+            self.note(f"silent {office.number}", f"office {office.number} is silent: no calls to it")
+            for other in [self.calls.get(n) for n, sent in office.pending.items() if sent <= call.sent_at]:
+                self.write_off(other, office)
+            for held in list(self.waiting.get(office.number, ())):
+                self.again(held)
+        if office.opened and call.name in self.calls:
+            self.write_off(call, office)
+
+    def write_off(self, call: Call | None, office: Office) -> None:
+        """A set-up no longer believed in: its caller is told now, not when the time is up."""
+        if call is not None:
+            office.pending.pop(call.name, None)
+            self.out += [io.Cancel(call.name, call.legs - 1)] if self.settings.may_cancel else []
+            self.refuse(call)
 
     def stands(self, event: io.CallStands) -> None:
         office = self.offices.get(event.office)
@@ -720,9 +744,7 @@
             office.answered(self.now)
             office.answers.add(self.now)
             self.answers.add(self.now)
-            sent = office.pending.pop(event.call, self.now)
-            known = office.srtt and not self.stall
-            self.own.heard(self.now, sent, event.took - office.base if known else None)
+            self.own.heard(office.pending.pop(event.call, 0))
         call = self.calls.get(event.call)
         if call is None or not call.out or call.legs != event.leg + 1:
             return
@@ -744,7 +766,7 @@
             if event.outcome not in SAYS_NOTHING:
                 office.answered(self.now)
                 if sent is not None and event.cause is not io.Cause.PROCESSOR_FULL:
-                    self.own.heard(self.now, sent, None)
+                    self.own.heard(sent)
             elif event.outcome is io.Outcome.UNREACHABLE and office.silence(self.now, self.rng):
                 self.note(f"unreachable {office.number}", f"office {office.number} cannot be reached")
             elif office.trial == event.call:
@@ -753,8 +775,7 @@
         if call is None or call.legs != event.leg + 1:
             return
         if call.epoch is not None and call.group is not None:
-            released = event.outcome is io.Outcome.RELEASED
-            self.groups[call.group].systems[call.cls].ended(call.epoch, released)
+            self.groups[call.group].systems[call.cls].ended(call.epoch, event.outcome is io.Outcome.RELEASED)
             call.epoch = None
         call.out = False
         if event.settled:
@@ -777,15 +798,14 @@
             pair = (office.number, call.dest)
             first = TURNED_BACK * self.classes[call.cls].mean_hold
             rest = max(2 * self.rests.get(pair, (0, 0.0))[1], first)
-            if pair in self.carried:
-                rest = min(rest, TURNED_BACK_CAP * first)
+            rest = min(rest, TURNED_BACK_CAP * first) if pair in self.carried else rest
             self.rests[pair] = (self.now + int(rest), rest)
-        direct_full = event.cause in HOPELESS and (office is None or office.number == call.dest)
+        hopeless = event.cause in HOPELESS and (office is None or office.number == call.dest)
         if max(self.now, call.not_before) >= call.expires:
             self.finish(call, io.Abandon(call.name))
         elif own_down and self.hold(call):
             return
-        elif call.transit or direct_full or event.cause is io.Cause.BEYOND_FULL:
+        elif call.transit or hopeless or event.cause is io.Cause.BEYOND_FULL:
             self.refuse(call)
         elif call.not_before > self.now:
             self.after(call.not_before, lambda: self.choose(call))
