--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -194,8 +194,7 @@
         self.words = Fading(ANSWER_HALF)
         self.wait_life = self.excess_life = float(EVIDENCE_LIFE)
         self.since, self.silent, self.opened = 0, 0, False  # own sends since the last report; breaker
-        self.retry_at = self.backoff = self.wake = 0
-        self.turn = 0.0  # while it is cold: time between our set-ups (ns)
+        self.retry_at = self.backoff = self.wake = self.turn = 0  # the last two while it is cold
         self.trial: str | None = None
         self.answers = Fading(ANSWER_HALF)
         self.pending: dict[str, int] = {}  # unanswered set-ups and when they were sent, oldest first
@@ -264,6 +263,7 @@
     def __init__(self) -> None:
         self.down_until = 0
         self.unheard: deque[tuple[int, int]] = deque()  # sends later than any answered one: when, whereto
+        self.waits: deque[tuple[int, float]] = deque([(0, 0.0)], WITNESSES)  # of the last answers
 
     def heard(self, sent: int) -> None:
         """A set-up sent then was answered: it got through, so did all before it."""
@@ -271,7 +271,7 @@
             self.unheard.popleft()
 
     def wait(self, now: int) -> float:
-        """What all paths wait (ns): the age of sends to several offices that no later one's answer overtook.
+        """What all paths wait (ns): the least of the last answers, or the age of sends that none overtook.
 
         Danger: an office that was sent to just now says nothing yet, and among many there always is one;
         a single unanswered send tells of its office only.  Also covers a jam by incoming calls, a cut of all
@@ -279,7 +279,8 @@
         """
         others = dict(reversed([(number, sent) for sent, number in self.unheard]))  # the oldest of each
         ages = sorted((now - sent for sent in others.values()), reverse=True)
-        return ages[WITNESSES - 1] if len(ages) >= WITNESSES else 0.0
+        seen = min(wait for _, wait in self.waits) * math.exp(-(now - self.waits[-1][0]) / EVIDENCE_LIFE)
+        return max(seen, ages[WITNESSES - 1] if len(ages) >= WITNESSES else 0.0)
 
 
 class Call:
@@ -401,13 +402,11 @@
             if event.answered and not event.unasked:
                 office.answered(self.now)
 
-    def learn(self, office: Office, report: io.LoadReport | None) -> None:
-        group = self.groups.get(office.number)
-        if report is not None and group is not None:
-            group.told(report)
-            self.sparse |= not group.linked
-        if report is not None:
-            office.report(self.now, report)
+    def learn(self, office: Office, report: io.LoadReport) -> None:
+        if office.number in self.groups:
+            self.groups[office.number].told(report)
+            self.sparse |= not self.groups[office.number].linked
+        office.report(self.now, report)
 
     def offered(self, event: io.CallOffered) -> None:
         if event.call in self.calls or not 0 <= event.class_no < len(self.classes):
@@ -421,14 +420,13 @@
         elif event.redialled and not event.was_cut:
             # Danger: a cut call is a repeat too, but its aim runs anew: taken for late, it is lost.
             call.born = self.now - self.classes[call.cls].aim
-        self.after(call.expires, lambda: self.expire(call.name))
+        self.after(call.expires, lambda: self.expire(call))
         self.choose(call)
 
-    def expire(self, name: str) -> None:
+    def expire(self, call: Call) -> None:
         """Rule 1: an answer when the caller's time is up, whatever is still out."""
-        call = self.calls.get(name)
-        if call is not None and call.epoch is None:
-            self.finish(call, io.Abandon(name))
+        if call.epoch is None and call.name in self.calls:
+            self.finish(call, io.Abandon(call.name))
 
     def finish(self, call: Call | None, answer: io.Action | None) -> None:
         if call is not None:
@@ -456,16 +454,16 @@
 
     def shed(self, office: Office | None, factor: float = 1.0) -> float:
         """Share of set-ups to hold back from a processor, by its wait and by what it asks."""
-        if office is None or self.now < office.full_until:
-            return 0.0 if office is None else SHED_CAP
-        by_wait = self.pressed(office.delay(self.now), factor)
+        if office is None:
+            return 0.0
+        by_wait = self.pressed(office.delay(self.now), factor) if self.now >= office.full_until else 1.0
         asked = office.reduce * math.exp(-(self.now - office.wait_at) / (2 * office.wait_life)) / factor
         return min(max(by_wait, asked, 0.0), SHED_CAP)
 
     def own_shed(self) -> float:
         """The own processor is on every path: what all paths wait is its wait."""
-        share = self.pressed(self.own.wait(self.now))
-        return SHED_CAP if self.now < self.own.down_until else min(max(share, 0.0), SHED_CAP)
+        share = self.pressed(self.own.wait(self.now)) if self.now >= self.own.down_until else 1.0
+        return min(max(share, 0.0), SHED_CAP)
 
     def pressed(self, wait: float, factor: float = 1.0) -> float:
         return (wait / (self.aim * factor) - WAIT_EASY) / (WAIT_FULL - WAIT_EASY)
@@ -486,8 +484,8 @@
         from redialling.  Hurts where releases come in bursts: the estimate takes them for steady.
         """
         office = self.offices.get(self.by_number.get(call.dest, ""))
-        setup = office.srtt + RTO_VARS * office.var if office is not None else 0.0
-        until = min(call.born + self.classes[call.cls].aim, call.expires) - int(setup)
+        until = min(call.born + self.classes[call.cls].aim, call.expires)
+        until -= int(office.srtt + RTO_VARS * office.var) if office is not None else 0
         opens = self.opens(call)
         if call.transit or self.now + opens >= until:
             return False
@@ -520,7 +518,7 @@
         if number != call.dest:
             circuits += math.ceil(group.reserve(self.now, self.widest, self.sparse))
         elif circuits <= 0 and not self.admitted(call, number, False):
-            circuits += self.widest + 1 - call.width  # the price is nought from there on
+            circuits = 1  # each one more lowers the bar
         pressed = max(office.delay(self.now, False) - WAIT_EASY * self.aim, until, 0.0)
         if len(office.pending) > PENDING_FREE:  # as many as are out are answered in one response time
             rounds = 1 + len(ahead) // len(office.pending)
@@ -682,7 +680,7 @@
             return True
         if self.now >= office.wake:
             until = office.sent[0] + s.cold_window if part >= 1.0 else self.now + int(period - turn)
-            office.wake, office.turn = until + 1, period
+            office.wake, office.turn = until + 1, int(period)
             self.after(office.wake, lambda: self.serve(office.number))
         return False
 
@@ -745,6 +743,8 @@
             office.answers.add(self.now)
             self.answers.add(self.now)
             self.own.heard(office.pending.pop(event.call, 0))
+            if office.srtt and not self.stall:
+                self.own.waits.append((self.now, event.took - office.base))
         call = self.calls.get(event.call)
         if call is None or not call.out or call.legs != event.leg + 1:
             return
@@ -761,15 +761,17 @@
     def ended(self, event: io.AttemptEnded) -> None:
         office = self.offices.get(event.office)
         if office is not None:
-            self.learn(office, event.report)
+            self.learn(office, event.report or io.LoadReport())
             sent = office.pending.pop(event.call, None)
             if event.outcome not in SAYS_NOTHING:
                 office.answered(self.now)
                 if sent is not None and event.cause is not io.Cause.PROCESSOR_FULL:
                     self.own.heard(sent)
-            elif event.outcome is io.Outcome.UNREACHABLE and office.silence(self.now, self.rng):
+            elif sent is not None:  # no longer fresh: kept, it would shed on after a restart of all
+                self.own.unheard = deque(x for x in self.own.unheard if x != (sent, office.number))
+            if event.outcome is io.Outcome.UNREACHABLE and office.silence(self.now, self.rng):
                 self.note(f"unreachable {office.number}", f"office {office.number} cannot be reached")
-            elif office.trial == event.call:
+            if office.trial == event.call:
                 office.trial = None
         call = self.calls.get(event.call)
         if call is None or call.legs != event.leg + 1:
@@ -795,8 +797,7 @@
         if event.cause is io.Cause.TANDEM_REFUSED and office is not None:
             # Danger: nobody tells of a tandem's own groups; tried blindly, most alternates are turned
             # back, each for work at two processors.  Hurts where its groups free up quickly.
-            pair = (office.number, call.dest)
-            first = TURNED_BACK * self.classes[call.cls].mean_hold
+            pair, first = (office.number, call.dest), TURNED_BACK * self.classes[call.cls].mean_hold
             rest = max(2 * self.rests.get(pair, (0, 0.0))[1], first)
             rest = min(rest, TURNED_BACK_CAP * first) if pair in self.carried else rest
             self.rests[pair] = (self.now + int(rest), rest)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -386,3 +386,16 @@
     assert [a.call for a in got if isinstance(a, io.Cancel)] == calls
     pauses = [a.pause for a in got if isinstance(a, io.Refuse)]
     assert len(pauses) == 2 and all(SECOND <= p <= 2 * SECOND for p in pauses), "then a trial may pass"
+
+
+def test_sends_given_up_unanswered_tell_no_longer_of_the_own_processor() -> None:
+    r = Rig(rig.settings(), numbers=tuple(range(10)))
+    for n in range(1, 10):
+        r.circuits(n, free=30)
+    out = [sends(r.call(2, dest=n, patience=2 * SECOND))[0].call for n in range(1, 6)]
+    r.run(r.now + 1900 * MS)
+    assert r.c.own_shed() > 0.9
+    for call in out:
+        r.end(call, io.Outcome.NO_ANSWER)
+    assert r.c.own_shed() == 0.0, "after a restart of all there may be no answer for long"
+    assert sends(r.call(0, dest=8))
