--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -771,8 +771,7 @@
                 self.own.unheard = deque(x for x in self.own.unheard if x != (sent, office.number))
             if event.outcome is io.Outcome.UNREACHABLE and office.silence(self.now, self.rng):
                 self.note(f"unreachable {office.number}", f"office {office.number} cannot be reached")
-            if office.trial == event.call:
-                office.trial = None
+            office.trial = None if office.trial == event.call else office.trial
         call = self.calls.get(event.call)
         if call is None or call.legs != event.leg + 1:
             return
