A lost answer is told from a slow processor by a report or a probe that says nothing waits there: called off, release awaited, tried again

One probe an office in an aim, only where a set-up is overdue; a probe's answer no longer closes the breaker.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -16,7 +16,6 @@
 
 SECOND = 1_000_000_000
 
-# Loss systems and the price
 WINDOW_HOLDS = 3.0  # holding times; older gaps say little of the present traffic
 WINDOW_NOTES = 256  # gaps; bounds the work of one test
 THIN_RELEASES = 4  # in the window; with fewer the estimate is off by half or more (1 / root of their number)
@@ -25,17 +24,16 @@
 ALPHA_HALF = 2.0  # holding times in which alpha halves: traffic drifts, so old exploring counts less
 CHANCE_Z = 0.674  # of the normal distribution: a way counts as likely from one chance in four on
 
-# The companion
 RESERVE_FLOOR = 0.5  # roots of the group's size kept, one widest class at most, where pairs lack groups
 RESERVE_BLOCKS = 3.0  # recent direct blockings at which the reserve has grown by 63%
 BLOCK_HALF = 0.3  # holding times in which half the direct blockings are forgotten
 
-# Processors
 WAIT_EASY = 0.2  # share of the shortest aim; a processor's wait up to here sheds nothing
 WAIT_FULL = 0.6  # share of the shortest aim; from here on all but trial calls are shed
 ALTERNATE_FACTOR = 0.5  # alternates cost work at one more processor: they stop at this share of the waits
 EVIDENCE_LIFE = 1 * SECOND  # in which word of a processor's wait loses 63% of its weight
 LAG_GAIN, VAR_GAIN, RTO_VARS = 1 / 8, 1 / 4, 4.0  # RFC 6298
+OVERDUE = 2  # RFC 6298 times after which an answer is lost if nothing waits at the processor
 WITNESSES = 3  # offices whose unanswered set-ups tell of the own processor
 PENDING_FREE = 2  # unanswered set-ups to one office that say nothing yet of a queue
 ANSWER_HALF = 5 * SECOND  # in which half the answers are forgotten, to know an office's usual pace
@@ -46,11 +44,9 @@
 OWN_DOWN = SECOND // 2  # between trials while the own processor is down
 BACKOFF_START, BACKOFF_CAP, BACKOFF_JITTER = 1 * SECOND, 4 * SECOND, 0.25  # the last a share
 
-# Cold offices
 COLD_CAUTION = 0.8  # share of this controller's part of the budget that is used
 COLD_UNKNOWN = 1.0  # set-ups a second, the least that a warm office is held to take where nobody tells a rate
 
-# Tandems
 TURNED_BACK = 0.05  # holding times that a tandem rests for a destination it turned a call back from; doubles
 TURNED_BACK_CAP = 8.0  # times the first rest
 
@@ -124,20 +120,14 @@
         return self.epoch
 
     def ended(self, epoch: int, released: bool) -> None:
-        """A call ended.  Danger: mass cuts taken for releases look like short calls, and every class passes.
-
-        So a cut call is censored: it leaves the sums unseen.
-        """
+        """A call ended.  A cut one leaves the sums unseen: mass cuts look like short calls, and all pass."""
         self.standing -= 1
         if epoch < self.epoch:
             self.base -= 1
             self.left += released
 
     def knows(self) -> bool:
-        """Whether it holds releases enough: on one or two the estimate swings across the bar, so all pass.
-
-        That might hurt where a thin class of little worth meets a dear one.
-        """
+        """On one or two releases the estimate swings across the bar, so all pass.  May hurt dear classes."""
         return self.releases >= THIN_RELEASES
 
     def beats(self, bar: float) -> bool:
@@ -173,10 +163,9 @@
         return gaps / max(((self.size or 0) - (self.free or 0)) * rate, 1e-9) * SECOND
 
     def reserve(self, now: int, widest: int, sparse: bool = False) -> float:
-        """Circuits kept from transit and alternates: one widest class, growing as direct calls are blocked.
+        """Circuits kept from transit and alternates; they grow as direct calls are blocked.
 
-        Where pairs lack groups (sparse) the floor is a share of the root of the size: planned transit would
-        be shut out of thin groups.  Hurts in overload, where it displaces direct calls.
+        Where pairs lack groups (sparse) the floor is lower, for planned transit; that hurts in overload.
         """
         root, grown = math.sqrt(self.size or 0), 1.0 - math.exp(-self.blocks.read(now) / RESERVE_BLOCKS)
         return (min(RESERVE_FLOOR * root, widest) if sparse else widest) + grown * root
@@ -190,7 +179,7 @@
         self.state, self.started, self.full_until = entry.state, entry.started, 0
         self.srtt = self.var = self.base = self.excess = self.wait = self.reduce = 0.0
         self.rate: float | None = None
-        self.excess_at = self.wait_at = self.heard_at = -(10**18)
+        self.excess_at = self.wait_at = self.heard_at = self.asked_at = -(10**18)
         self.words = Fading(ANSWER_HALF)
         self.wait_life = self.excess_life = float(EVIDENCE_LIFE)
         self.since, self.silent, self.opened = 0, 0, False  # own sends since the last report; breaker
@@ -225,8 +214,12 @@
         self.opened, self.trial = True, None
         return fresh
 
-    def report(self, now: int, report: io.LoadReport) -> None:
-        """Word of the processor's load, late and noisy."""
+    def report(self, now: int, report: io.LoadReport) -> list[str]:
+        """Word of the processor's load, late and noisy; returns the set-ups that it shows to be lost.
+
+        Those are overdue though nothing waits there.  Danger: taken for a wait, one lost answer sheds a
+        sparse pair for seconds.  Also covers set-ups lost on the way.  Hurts where reports are seconds old.
+        """
         wait: float | None = report.wait
         self.rate = self.rate if report.max_rate is None else report.max_rate
         if wait is None and report.waiting is not None and self.rate:
@@ -236,6 +229,11 @@
             self.wait, self.wait_at, self.since = wait or 0.0, now, 0
             self.words.add(now)
             self.wait_life = self.words.life(now)
+        calm = (wait, report.reduce) != (None, None) and self.wait + self.reduce == 0 < self.srtt
+        return [name for name, at in self.pending.items() if calm and now - at > self.overdue()]
+
+    def overdue(self) -> int:
+        return int(OVERDUE * (self.srtt + RTO_VARS * self.var))
 
     def delay(self, now: int, crowd: bool = True) -> float:
         """Expected wait at its processor (ns): the fresher of report and own evidence weighs more."""
@@ -246,11 +244,7 @@
         return max(told * stale, self.lag(now, crowd))
 
     def lag(self, now: int, crowd: bool) -> float:
-        """Own evidence of the wait on the way there and back (ns).
-
-        Danger: word of a jam comes only when the jam lets an answer through; what is still unanswered tells
-        sooner, and a crowd sent at once tells before any of it is due.
-        """
+        """Own evidence of the wait (ns): answers, what is still unanswered, and a crowd before any is due."""
         seen = self.excess * math.exp(-(now - self.excess_at) / self.excess_life)
         age = now - next(iter(self.pending.values()), now) - self.base
         pace = max(self.answers.rate(now), math.log(2) / ANSWER_HALF * SECOND)
@@ -273,9 +267,8 @@
     def wait(self, now: int) -> float:
         """What all paths wait (ns): the least of the last answers, or the age of sends that none overtook.
 
-        Danger: an office that was sent to just now says nothing yet, and among many there always is one;
-        a single unanswered send tells of its office only.  Also covers a jam by incoming calls, a cut of all
-        links and a hung own processor.  Hurts a controller whose few offices are all in trouble.
+        Danger: an office that was sent to just now says nothing yet, and among many there is one.  Also
+        covers incoming jams, a cut of all links, a hung processor.  Hurts where all its few offices are ill.
         """
         others = dict(reversed([(number, sent) for sent, number in self.unheard]))  # the oldest of each
         ages = sorted((now - sent for sent in others.values()), reverse=True)
@@ -399,14 +392,14 @@
         if office is not None:
             self.learn(office, event.report)
             self.serve(office.number)
-            if event.answered and not event.unasked:
-                office.answered(self.now)
 
     def learn(self, office: Office, report: io.LoadReport) -> None:
         if office.number in self.groups:
             self.groups[office.number].told(report)
             self.sparse |= not self.groups[office.number].linked
-        office.report(self.now, report)
+        for name in office.report(self.now, report):
+            call, _ = self.calls.get(name), office.pending.pop(name)
+            self.out += [io.Cancel(name, call.legs - 1)] if call and self.settings.may_cancel else []
 
     def offered(self, event: io.CallOffered) -> None:
         if event.call in self.calls or not 0 <= event.class_no < len(self.classes):
@@ -445,10 +438,9 @@
         self.finish(call, io.Refuse(call.name, int(pause)))
 
     def late(self, call: Call) -> bool:
-        """Whether the caller's aim has passed, told by the number called.
+        """Whether the caller's aim has passed, told by the number called: then most of the worth is gone.
 
-        Danger: redials of calls refused a moment ago fill the circuits for a fraction of the worth.  It also
-        thins out storms on one number.  Hurts where many call one number.
+        It also thins out storms on one number.  Hurts where many call one number.
         """
         return not call.transit and self.now - call.born >= self.classes[call.cls].aim
 
@@ -553,8 +545,7 @@
     def again(self, call: Call, number: int | None = None) -> None:
         """Try a held call again, over one office or any; it is refused once no way is likely to open in time.
 
-        It goes only while nothing on the way is pressed: held calls that drew lots again and again would undo
-        the shedding.
+        Only while nothing on the way is pressed: held calls drawing lots again would undo the shedding.
         """
         if call.held is None:
             return
@@ -626,9 +617,8 @@
     def alternate(self, call: Call, numbers: Iterable[int] | None = None) -> bool:
         """One random tandem whose own leg shows room beyond the reserve; the planned route of unlinked pairs.
 
-        Danger: many tandems have no group to the destination, and each call turned back is work at two
-        processors.  The centre's advice comes first, then those that carried a call there, then by lot,
-        weighted by how often each sent our calls on.  Hurts where groups change within minutes.
+        Danger: many have no group to the destination; a call turned back is work at two processors.  Advice
+        goes first, then those that carried a call there, then by lot, weighted by how often each sent on.
         """
         pools, planned = self.classes[call.cls].pools, self.queue(call) == OVER or self.settings.pooled
         if self.late(call) or (call.tried and call.tried[-1] != call.dest and not planned):
@@ -660,8 +650,7 @@
     def cold_room(self, office: Office) -> bool:
         """Rule 4: this controller's part of what all may send a cold office in a window.
 
-        Danger: in a large fleet the part is under one set-up; one each would push the office over.  Then they
-        take turns, spread by their numbers; a turn lapses in half a window, so turns saved up make no burst.
+        Where that is under one set-up they take turns, spread by their numbers, which lapse in half a window.
         """
         s, age = self.settings, self.now - office.started
         if not office.started or age >= s.cold_time or not s.cold_window:
@@ -711,9 +700,17 @@
             office.trial = call.name
         rto = int(max(office.srtt + RTO_VARS * office.var, self.aim))  # processors queue longer than networks
         self.after(self.now + rto, lambda: self.unanswered(call, leg, office))
+        if s.may_probe and office.srtt:
+            self.after(self.now + office.overdue(), lambda: self.ask(call, leg, office))
         self.out.append(io.Send(call.name, office.name, call.expires))
         return True
 
+    def ask(self, call: Call, leg: int, office: Office) -> None:
+        """A set-up is overdue: a probe tells whether its processor is busy.  It vouches for no set-up."""
+        if call.name in office.pending and call.legs == leg + 1 and self.now - office.asked_at > self.aim:
+            office.asked_at = self.now
+            self.out.append(io.Probe(office.name))
+
     def unanswered(self, call: Call, leg: int, office: Office) -> None:
         """A send is past its time-out: the office may be silent.  Then all such sends are given up."""
         if not call.out or call.legs != leg + 1 or call.epoch is not None or call.name not in self.calls:
@@ -791,11 +788,11 @@
         elif office is not None and full:
             office.excess, office.excess_at = max(office.excess, 2.0 * self.aim), self.now
             office.full_until = self.now + event.named_wait
+        call.tried = [] if event.outcome is io.Outcome.CANCELLED else call.tried  # lost: the same way again
         if event.outcome in RELEASES:
             call.not_before = self.now + self.settings.release_wait
         if event.cause is io.Cause.TANDEM_REFUSED and office is not None:
-            # Danger: nobody tells of a tandem's own groups; tried blindly, most alternates are turned
-            # back, each for work at two processors.  Hurts where its groups free up quickly.
+            # Danger: most blind alternates are turned back.  Hurts where its groups free up quickly.
             pair, first = (office.number, call.dest), TURNED_BACK * self.classes[call.cls].mean_hold
             rest = max(2 * self.rests.get(pair, (0, 0.0))[1], first)
             rest = min(rest, TURNED_BACK_CAP * first) if pair in self.carried else rest
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -399,3 +399,47 @@
         r.end(call, io.Outcome.NO_ANSWER)
     assert r.c.own_shed() == 0.0, "after a restart of all there may be no answer for long"
     assert sends(r.call(0, dest=8))
+
+
+def calm_pair(**changes: object) -> tuple[Rig, io.LoadReport]:
+    """An office that answers in 20 ms, and a report by which nothing waits at its processor."""
+    r = Rig(rig.settings(**changes), numbers=(0, 1))
+    r.circuits(1, free=30)
+    for _ in range(4):
+        call = sends(r.call(2))[0].call
+        r.stand(call)
+        r.end(call, io.Outcome.RELEASED, settled=True)
+    return r, io.LoadReport(free=30, size=30, reduce=0.0)
+
+
+def test_a_lost_answer_is_told_by_a_probe_called_off_and_tried_again_in_time() -> None:
+    r, calm = calm_pair(may_probe=True)
+    start, call = r.now, sends(r.call(2))[0].call
+    asked: list[io.Action] = []
+    while not asked:
+        asked += [a for a in r.run(r.now + 10 * MS) if isinstance(a, io.Probe)]
+    got = r.give(io.OfficeHeard(addr(1), False, True, 5 * MS, calm))
+    assert io.Cancel(call, 0) in got
+    r.end(call, io.Outcome.CANCELLED)
+    again = sends(r.run(r.now + r.s.release_wait))
+    assert [a.call for a in again] == [call] and r.now - start < r.s.classes[2].aim
+
+
+def test_a_probe_that_tells_of_a_busy_processor_calls_nothing_off() -> None:
+    r, calm = calm_pair(may_probe=True)
+    call = sends(r.call(2))[0].call
+    probes = [a for a in r.run(r.now + 400 * MS) if isinstance(a, io.Probe)]
+    assert len(probes) == 1, "and asks once in an aim"
+    busy = replace(calm, reduce=0.5)
+    got = r.give(io.OfficeHeard(addr(1), False, True, 5 * MS, busy))
+    assert not any(isinstance(a, io.Cancel) for a in got) and call in r.out
+
+
+def test_a_lost_answer_does_not_shed_its_office_once_a_report_says_that_nothing_waits() -> None:
+    r, calm = calm_pair()
+    r.call(2)
+    r.run(r.now + SECOND)
+    r.give()
+    assert r.c.shed(r.c.offices[addr(1)]) > 0.9
+    r.give(io.OfficeHeard(addr(1), False, True, 5 * MS, calm))
+    assert r.c.shed(r.c.offices[addr(1)]) == 0.0
