--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -399,7 +399,8 @@
             self.sparse |= not self.groups[office.number].linked
         for name in office.report(self.now, report):
             call, _ = self.calls.get(name), office.pending.pop(name)
-            self.out += [io.Cancel(name, call.legs - 1)] if call and self.settings.may_cancel else []
+            if call and call.dest == office.number and self.settings.may_cancel:  # not beyond a tandem
+                self.out.append(io.Cancel(name, call.legs - 1))
 
     def offered(self, event: io.CallOffered) -> None:
         if event.call in self.calls or not 0 <= event.class_no < len(self.classes):
@@ -758,8 +759,8 @@
     def ended(self, event: io.AttemptEnded) -> None:
         office = self.offices.get(event.office)
         if office is not None:
-            self.learn(office, event.report or io.LoadReport())
             sent = office.pending.pop(event.call, None)
+            self.learn(office, event.report or io.LoadReport())
             if event.outcome not in SAYS_NOTHING:
                 office.answered(self.now)
                 if sent is not None and event.cause is not io.Cause.PROCESSOR_FULL:
