--- /dev/null
+++ b/eiderstep/config/__init__.py
@@ -0,0 +1,6 @@
+"""Settings of a call server: a Starlark script, evaluated with no file or network, into checked structs."""
+
+from eiderstep.config.load import ConfigError, load_day, load_settings, load_text
+from eiderstep.config.schema import ServerSettings
+
+__all__ = ["ConfigError", "ServerSettings", "load_day", "load_settings", "load_text"]
--- /dev/null
+++ b/eiderstep/config/schema.py
@@ -0,0 +1,201 @@
+"""The settings of a call server as checked structs.  Lengths of time are integer nanoseconds.
+
+The defaults are those of the RFCs or plain safe sizes; what the module is told comes from here alone.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from eiderstep import interface as io
+
+MS = 1_000_000
+SECOND = 1000 * MS
+
+Length = Annotated[int, Meta(ge=MS, le=86_400 * SECOND, description="ms(1) to s(86400)")]
+MaybeLength = Annotated[int, Meta(ge=0, le=86_400 * SECOND, description="0 to s(86400)")]
+Number = Annotated[int, Meta(ge=0, le=65535, description="0 to 65535")]
+Count = Annotated[int, Meta(ge=1, le=1_000_000, description="1 to 1000000")]
+Share = Annotated[float, Meta(gt=0, le=1, description="above 0, at most 1")]
+Worth = Annotated[float, Meta(ge=0, le=1e9, description="0 to 1e9")]
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$", description="letters, digits and ._-")]
+Prefix = Annotated[str, Meta(pattern=r"^[0-9]{0,32}$", description="up to 32 digits")]
+Address = Annotated[str, Meta(pattern=r"^[^\s]+:[0-9]{1,5}$", description="host:port")]
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A struct in which an unknown field is an error, not a silence."""
+
+
+class CallClass(Strict, frozen=True, kw_only=True):
+    """One class of calls, as callers name it in the class header."""
+
+    name: Name
+    aim: Length
+    give_up: Length
+    mean_hold: Length
+    worth: Worth = 1.0
+    width: Annotated[int, Meta(ge=1, le=64, description="1 to 64")] = 1
+    late_share: Annotated[float, Meta(ge=0, le=1, description="0 to 1")] = 0.0
+
+
+class Peer(Strict, frozen=True, kw_only=True):
+    """An exchange that we share a trunk group with; 0 circuits: a pair without a group of its own."""
+
+    number: Number
+    address: Address
+    circuits: Annotated[int, Meta(ge=0, le=65535, description="0 to 65535")]
+    zone: Number = 0
+
+
+class Route(Strict, frozen=True, kw_only=True):
+    """Numbers that begin so belong to that exchange; the longest prefix holds."""
+
+    prefix: Prefix
+    exchange: Number
+
+
+class Cold(Strict, frozen=True, kw_only=True):
+    """Rule 4: what a processor that has just started is held to take."""
+
+    multiple: Annotated[float, Meta(gt=0, le=1000, description="above 0, at most 1000")] = 2.0
+    window: MaybeLength = 2 * SECOND
+    share: Share = 0.3
+    time: MaybeLength = 0
+
+
+class Rules(Strict, frozen=True, kw_only=True):
+    """The figures of the five rules and what callers and exchanges allow."""
+
+    answer_margin: MaybeLength = 50 * MS  # how long before the caller's time is up the last answer must go
+    drain_grace: Length = 500 * MS
+    release_wait: Length = 500 * MS
+    attempts: Annotated[int, Meta(ge=1, le=64, description="1 to 64")] = 4
+    cold: Cold = Cold()
+    probes: bool = False
+    cancels: bool = True
+    pauses: bool = True
+    longest_pause: MaybeLength = 2 * SECOND
+    redials_marked: bool = False
+
+
+class Register(Strict, frozen=True, kw_only=True):
+    """Where the list of exchanges comes from; `on_request`: the server must ask to be told."""
+
+    address: Address
+    path: Annotated[str, Meta(pattern=r"^/[^\s]*$", description="a path from /")] = "/exchanges"
+    on_request: bool = False
+    retry: Length = 500 * MS
+    silence: Length = 10 * SECOND  # no line for so long: the connection is dead
+
+
+class Timers(Strict, frozen=True, kw_only=True):
+    """The base times of RFC 3261 section 17.1.1.1."""
+
+    t1: Length = 500 * MS
+    t2: Length = 4 * SECOND
+    t4: Length = 5 * SECOND
+
+
+class Limits(Strict, frozen=True, kw_only=True):
+    """What one peer may cost us."""
+
+    connections: Count = 20_000
+    first_message: Length = 30 * SECOND  # an inbound connection without a whole message for so long is closed
+    line: Annotated[int, Meta(ge=256, le=65536, description="256 to 65536")] = 4096
+    head: Annotated[int, Meta(ge=1024, le=262144, description="1024 to 262144")] = 16384
+    headers: Annotated[int, Meta(ge=16, le=1024, description="16 to 1024")] = 96
+    body: Annotated[int, Meta(ge=0, le=1_048_576, description="0 to 1048576")] = 65536
+    calls: Count = 100_000
+    unsent: Annotated[int, Meta(ge=4096, le=2**30, description="4096 to 2**30 bytes")] = 4_194_304
+    dial: Length = 500 * MS
+    redial: Length = 200 * MS
+    drain: MaybeLength = 30 * SECOND  # how long a stop waits for standing calls
+
+
+class ServerSettings(Strict, frozen=True, kw_only=True):
+    """All that one call server is told."""
+
+    number: Number
+    listen: Address
+    context: Name
+    classes: Annotated[list[CallClass], Meta(min_length=1, description="one class at least")]
+    peers: list[Peer]
+    dial_plan: Annotated[list[Route], Meta(min_length=1, description="one route at least")]
+    name: Name = "eiderstep"
+    udp: bool = False
+    lines: Address | None = None  # the exchange's own subscribers; None: calls to our own number are 404
+    class_header: Name = "Eiderstep-Class"
+    default_class: str = ""
+    controllers: Count = 1
+    ordinal: Number = 0
+    rules: Rules = Rules()
+    register: Register | None = None
+    timers: Timers = Timers()
+    limits: Limits = Limits()
+    seed: Annotated[int, Meta(ge=0, le=2**62, description="0 to 2**62")] = 0
+
+    def module(self) -> io.Settings:
+        """The same in the module's terms."""
+        rules = self.rules
+        return io.Settings(
+            classes=tuple(
+                io.CallClass(c.worth, c.width, c.aim, c.give_up, c.mean_hold, c.late_share)
+                for c in self.classes
+            ),
+            own_number=self.number,
+            controllers=self.controllers,
+            ordinal=self.ordinal,
+            attempt_cap=rules.attempts,
+            may_probe=rules.probes,
+            may_cancel=rules.cancels,
+            may_pause=rules.pauses,
+            max_pause=rules.longest_pause,
+            list_on_request=self.register is not None and self.register.on_request,
+            answer_slack=rules.answer_margin,
+            drain_grace=rules.drain_grace,
+            cold_multiple=rules.cold.multiple,
+            cold_window=rules.cold.window,
+            cold_share=rules.cold.share,
+            cold_time=rules.cold.time,
+            release_wait=rules.release_wait,
+            resend_after=self.timers.t1 if self.udp else 0,
+            redials_marked=rules.redials_marked,
+        )
+
+
+def cross_check(settings: ServerSettings) -> tuple[str, str] | None:
+    """What no single field shows: the path of the field at fault and what is wrong with it."""
+    seen: dict[int, int] = {}
+    for i, peer in enumerate(settings.peers):
+        if peer.number == settings.number:
+            return f"$.peers[{i}].number", f"found {peer.number}, this exchange; allowed: another"
+        if peer.number in seen:
+            return f"$.peers[{i}].number", f"found {peer.number} again; allowed: each exchange once"
+        seen[peer.number] = i
+    names = [c.name for c in settings.classes]
+    for i, name in enumerate(names):
+        if name in names[:i]:
+            return f"$.classes[{i}].name", f"found {name!r} again; allowed: each name once"
+    if settings.default_class and settings.default_class not in names:
+        return "$.default_class", f"found {settings.default_class!r}; allowed: one of {', '.join(names)}"
+    known = {settings.number, *seen}
+    prefixes: set[str] = set()
+    for i, route in enumerate(settings.dial_plan):
+        if route.exchange not in known:
+            return f"$.dial_plan[{i}].exchange", f"found {route.exchange}; allowed: one of {sorted(known)}"
+        if route.prefix in prefixes:
+            return f"$.dial_plan[{i}].prefix", f"found {route.prefix!r} again; allowed: each prefix once"
+        prefixes.add(route.prefix)
+    if settings.ordinal >= settings.controllers:
+        return "$.ordinal", f"found {settings.ordinal}; allowed: below controllers, {settings.controllers}"
+    shortest = min(c.give_up for c in settings.classes)
+    if settings.rules.answer_margin >= shortest:
+        return (
+            "$.rules.answer_margin",
+            f"found {settings.rules.answer_margin} ns; allowed: under {shortest} ns",
+        )
+    return None
--- /dev/null
+++ b/eiderstep/engine/circuits.py
@@ -0,0 +1,143 @@
+"""The numbered circuits of a trunk group, kept alike at both ends.
+
+A circuit is seized at the send of a set-up, by its number, and freed by the far end's final word or by the
+release.  Both ends can seize one circuit at a moment; then the end that controls it keeps it (ITU-T Q.764,
+2.9.1.4: the exchange with the higher number controls the even circuits).  Each end takes circuits it
+controls first, from the bottom, and others from the top, so that this stays rare.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+
+
+class Ledger:
+    """One group toward one peer.  An owner is any object; it is compared by identity.
+
+    `free` is exact at every moment: circuits that are neither busy nor blocked.
+    """
+
+    def __init__(self, size: int, own: int, peer: int) -> None:
+        self.total, self.peer = size, peer
+        self.parity = 0 if own > peer else 1  # the circuits that this end controls
+        self.busy: dict[int, object] = {}
+        self.blocked: set[int] = set()
+        self._ours = [c for c in range(size) if c % 2 == self.parity]
+        self._theirs = [-c for c in range(size) if c % 2 != self.parity]
+        heapq.heapify(self._theirs)
+        self._listed = set(range(size))  # numbers that stand in one of the heaps
+        self._busy_blocked = 0
+
+    @property
+    def size(self) -> int:
+        """Circuits in service."""
+        return self.total - len(self.blocked)
+
+    @property
+    def free(self) -> int:
+        return self.total - len(self.busy) - len(self.blocked) + self._busy_blocked
+
+    def controls(self, circuit: int) -> bool:
+        return circuit % 2 == self.parity
+
+    def seize(self, width: int, owner: object) -> tuple[int, ...]:
+        """Take so many circuits, or none: an empty tuple where too few are free."""
+        if width < 1 or self.free < width:
+            return ()
+        taken: list[int] = []
+        for heap in (self._ours, self._theirs):
+            while heap and len(taken) < width:
+                circuit = abs(heapq.heappop(heap))
+                self._listed.discard(circuit)
+                if circuit not in self.busy and circuit not in self.blocked:
+                    self.busy[circuit] = owner
+                    taken.append(circuit)
+        return tuple(taken)
+
+    def claim(self, circuits: Iterable[int], owner: object) -> tuple[bool, list[object]]:
+        """The far end says that it seized these.
+
+        Returns whether the claim holds, and the owners on this side that lose circuits to it.  A claim fails
+        on a circuit out of range or blocked, one that an earlier claim of the far end holds, or one seized
+        here that this end controls.
+        """
+        wanted = list(circuits)
+        losers: list[object] = []
+        for circuit in wanted:
+            if not 0 <= circuit < self.total or circuit in self.blocked:
+                return False, []
+            holder = self.busy.get(circuit)
+            if holder is None or holder is owner:
+                continue
+            if self.controls(circuit) or not getattr(holder, "seized_here", False):
+                return False, []
+            losers.append(holder)
+        for circuit in wanted:
+            self.busy[circuit] = owner
+        return True, list({id(loser): loser for loser in losers}.values())
+
+    def release(self, circuits: Iterable[int], owner: object) -> None:
+        """Give back what the owner still holds of these; the rest is another's and stays."""
+        for circuit in circuits:
+            if self.busy.get(circuit) is owner:
+                del self.busy[circuit]
+                if circuit in self.blocked:
+                    self._busy_blocked -= 1
+                else:
+                    self._list(circuit)
+
+    def block(self, circuits: Iterable[int]) -> list[object]:
+        """Circuits lost: returns the owners of calls on them, whose calls are cut."""
+        owners: dict[int, object] = {}
+        for circuit in circuits:
+            if 0 <= circuit < self.total and circuit not in self.blocked:
+                self.blocked.add(circuit)
+                if circuit in self.busy:
+                    self._busy_blocked += 1
+                    owners[id(self.busy[circuit])] = self.busy[circuit]
+        return list(owners.values())
+
+    def unblock(self, circuits: Iterable[int]) -> None:
+        for circuit in circuits:
+            if circuit in self.blocked:
+                self.blocked.discard(circuit)
+                if circuit in self.busy:
+                    self._busy_blocked -= 1
+                else:
+                    self._list(circuit)
+
+    def owners(self) -> list[object]:
+        """All that hold circuits, each once, in the order of their circuits."""
+        return list({id(o): o for _, o in sorted(self.busy.items(), key=lambda item: item[0])}.values())
+
+    def _list(self, circuit: int) -> None:
+        if circuit not in self._listed:
+            self._listed.add(circuit)
+            if self.controls(circuit):
+                heapq.heappush(self._ours, circuit)
+            else:
+                heapq.heappush(self._theirs, -circuit)
+
+
+def read_ranges(text: str) -> list[int]:
+    """Circuit numbers as `0-3,7`.  Raises ValueError."""
+    found: list[int] = []
+    for part in text.split(","):
+        low, sep, high = part.strip().partition("-")
+        first, last = int(low), int(high if sep else low)
+        if not 0 <= first <= last <= 65535:
+            raise ValueError(f"circuits {part!r} are no range")
+        found.extend(range(first, last + 1))
+    return found
+
+
+def write_ranges(circuits: Iterable[int]) -> str:
+    """The shortest such text."""
+    runs: list[list[int]] = []
+    for circuit in sorted(set(circuits)):
+        if runs and runs[-1][1] == circuit - 1:
+            runs[-1][1] = circuit
+        else:
+            runs.append([circuit, circuit])
+    return ",".join(str(a) if a == b else f"{a}-{b}" for a, b in runs)
--- /dev/null
+++ b/eiderstep/engine/core.py
@@ -0,0 +1,585 @@
+"""The call engine: sans-I/O, no clock, no routing decision.
+
+In: messages, lost and new connections, news of the register, the time.  Out: `out` (flow, bytes) and the
+effects that `flush` returns.  Every call is offered to `Controller.handle` and every action of it is carried
+out as it stands.  What is read from an INVITE: offers.py; what the module's words mean in SIP: mapping.py.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+from eiderstep import interface as io
+from eiderstep.config.schema import ServerSettings
+from eiderstep.decide import Controller
+from eiderstep.engine import effects as fx
+from eiderstep.engine import mapping, offers
+from eiderstep.engine.calls import Attempt, AttemptState, Call, CallState
+from eiderstep.engine.circuits import read_ranges
+from eiderstep.engine.legs import OPEN, Legs
+from eiderstep.sip import fields
+from eiderstep.sip.dialog import Dialog, acknowledge
+from eiderstep.sip.message import Message, request, response
+from eiderstep.sip.parser import BadMessage
+from eiderstep.sip.transaction import Answer, NewRequest, NoAnswer, Transaction
+
+NEVER = 2**63
+
+
+class ProbeOut:
+    """An OPTIONS that the module asked for."""
+
+    __slots__ = ("office", "sent_at")
+
+    def __init__(self, office: str, sent_at: int) -> None:
+        self.office, self.sent_at = office, sent_at
+
+
+class Engine(Legs):
+    """One exchange's calls.  `here` is the `host:port` that goes into Via and Contact."""
+
+    def __init__(self, settings: ServerSettings, here: str) -> None:
+        super().__init__(settings, here)
+        self.controller = Controller(settings.module(), settings.seed)
+        self.reader = offers.Reader(settings)
+        self.links: dict[str, int] = {}
+        self.offices: dict[str, int] = {}
+        self.current: dict[int, str] = {}
+        self.stopping = self.finished = False
+
+    # -- inputs --------------------------------------------------------------------------------------------
+
+    def begin(self, now: int) -> None:
+        """Start with the exchanges that the settings name, as last seen: the register tells what is stale."""
+        entries = tuple(
+            io.OfficeEntry(p.address, p.number, io.OfficeState.UP, 0, p.zone) for p in self.settings.peers
+        )
+        if self.settings.lines:
+            self.effects.append(fx.Dial(self.settings.lines))
+        self.news(now, io.ListKind.REMEMBERED, entries)
+
+    def message(self, now: int, flow: int, item: Message | BadMessage, reliable: bool = True) -> None:
+        """A message, or what is wrong with one, from a connection."""
+        if isinstance(item, BadMessage):
+            self._bad(flow, item)
+            return
+        self.transactions.receive(now, flow, item, reliable)
+        self._take(now)
+
+    def link_up(self, now: int, address: str, flow: int) -> None:
+        """A connection that we dialled stands."""
+        self.links[address] = flow
+        self._log("info", "link up", address=address)
+
+    def flow_lost(self, now: int, flow: int) -> None:
+        """A connection is lost: what was open on it fails, what stood on it is cut."""
+        for address, mine in list(self.links.items()):
+            if mine == flow:
+                del self.links[address]
+                if address in self.offices or address == self.settings.lines:
+                    self.effects.append(fx.Dial(address))
+                self._log("warning", "link lost", address=address, standing=len(self.on_flow.get(flow, ())))
+        self.transactions.broken(now, flow)
+        self._take(now)
+        for leg in list(self.on_flow.pop(flow, {})):
+            self._cut(now, leg, fields.NETWORK_OUT, lost=True)
+
+    def news(self, now: int, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
+        """The register's word.  Entries of exchanges that we share no group with are passed over."""
+        kept = tuple(e for e in entries if e.number in self.ledgers or e.number == self.settings.number)
+        gone = (
+            ()
+            if kind in (io.ListKind.CHANGES, io.ListKind.FAILED)
+            else set(self.offices) - {e.office for e in kept}
+        )
+        for office in gone:
+            self._unlist(office)
+        for entry in kept:
+            if entry.state is io.OfficeState.GONE:
+                self._unlist(entry.office)
+            elif entry.number != self.settings.number:
+                if entry.office not in self.offices:
+                    self.effects.append(fx.Dial(entry.office))
+                self.offices[entry.office] = entry.number
+                if entry.state is io.OfficeState.UP:
+                    self.current[entry.number] = entry.office
+                    self.told.pop(entry.number, None)
+                    self.dirty.add(entry.number)
+        self.events.append(io.OfficeList(kind, kept))
+
+    def due(self, now: int) -> None:
+        """Run what is due."""
+        self.transactions.due(now)
+        self._take(now)
+        while self._heap and self._heap[0][0] <= now:
+            heapq.heappop(self._heap)[2](now)
+
+    def next_due(self) -> int | None:
+        """When `due` is wanted next (ns)."""
+        mine, theirs = self._heap[0][0] if self._heap else NEVER, self.transactions.next_due() or NEVER
+        return min(mine, theirs) if min(mine, theirs) < NEVER else None
+
+    def stop(self, now: int) -> None:
+        """An orderly stop: new calls are told to come back, those taken get their answer, the rest drains."""
+        if not self.stopping:
+            self.stopping = True
+            self._at(now + self.settings.limits.drain, self._drain_over)
+
+    def flush(self, now: int) -> list[fx.Effect]:
+        """Hand the events of this moment to the module, carry out its actions, until nothing is left."""
+        while True:
+            if self.dirty:
+                self._tell_circuits()
+            if not self.events:
+                break
+            events, self.events = self.events, []
+            for action in self.controller.handle(now, events):
+                ACTIONS[type(action)](self, now, action)
+        if self.stopping and not self.calls and not self.finished:
+            self.finished = True
+            self.effects.append(fx.Finished())
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _tell_circuits(self) -> None:
+        for number in sorted(self.dirty):
+            office, ledger = self.current.get(number), self.ledgers[number]
+            figures = (ledger.free, ledger.size)
+            if office is not None and self.told.get(number) != figures:
+                self.told[number] = figures
+                self.events.append(io.OfficeHeard(office, True, True, 0, mapping.report(ledger, None)))
+        self.dirty.clear()
+
+    def _unlist(self, office: str) -> None:
+        number = self.offices.pop(office, None)
+        if number is not None:
+            self.effects.append(fx.HangUp(office))
+            if self.current.get(number) == office:
+                del self.current[number]
+
+    def _take(self, now: int) -> None:
+        events = self.transactions.events
+        while events:
+            found, events[:] = events[:], []
+            for event in found:
+                if isinstance(event, NewRequest):
+                    self._request(now, event.tx, event.message)
+                elif isinstance(event, Answer):
+                    self._answer(now, event.tx, event.message)
+                elif isinstance(event, NoAnswer):
+                    self._no_answer(now, event.tx, event.broken)
+
+    def _bad(self, flow: int, problem: BadMessage) -> None:
+        """Malformed: the right 4xx where it has what a response needs, else only a line and a count."""
+        self._count("malformed")
+        self._log("warning", "malformed message", why=problem.text, status=problem.status, flow=flow)
+        message = problem.message
+        if message is not None and message.method not in ("", "?", "ACK") and "via" in message.headers:
+            answer = response(message, problem.status, self._id())
+            self.out.append((flow, answer.encode()))
+        if problem.fatal:
+            self.effects.append(fx.CloseFlow(flow, problem.text))
+
+    def _request(self, now: int, tx: Transaction, message: Message) -> None:
+        handler = REQUESTS.get(message.method)
+        try:
+            if handler is None:
+                known = message.method in offers.KNOWN_METHODS
+                raise offers.Unfit(
+                    405 if known else 501, f"method {message.method[:20]!r}", allow=", ".join(offers.METHODS)
+                )
+            handler(self, now, tx, message)
+        except offers.Unfit as unfit:
+            self._count("unfit")
+            self._log(
+                "info", "request not served", message.get("session-id"), status=unfit.status, why=unfit.text
+            )
+            answer = response(message, unfit.status, self._id())
+            for name, value in unfit.headers.items():
+                answer.set(name, value)
+            self.transactions.respond(now, tx, answer)
+
+    def _invite(self, now: int, tx: Transaction, message: Message) -> None:
+        if message.to_tag:
+            known = (message.call_id, message.to_tag) in self.dialogs
+            raise offers.Unfit(488 if known else 481, "sessions are not changed" if known else "no such call")
+        mark = (message.call_id, message.from_tag, message.cseq)
+        if mark in self.merged:
+            raise offers.Unfit(482, "the same INVITE came before, over another branch")
+        limits = self.settings.limits
+        if self.stopping or len(self.calls) >= limits.calls:
+            raise offers.Unfit(503, "stopping" if self.stopping else "call table full", retry_after="1")
+        offer = self.reader.read(message)
+        if offer.dest == self.settings.number and self.settings.lines is None:
+            raise offers.Unfit(404, "this exchange has no lines of its own")
+        name = message.get("session-id").partition(";")[0]
+        if not name or name in self.calls:
+            name = f"{name or 'call'}-{self._id()}"
+        expires = now + max(offer.patience - self.settings.rules.answer_margin, 0)
+        call = Call(name, tx.flow, tx, message, self._id(), offer.cls, offer.width, offer.dest, expires)
+        if offer.trunk >= 0:
+            ledger = self.ledgers[offer.trunk]
+            held, losers = ledger.claim(offer.circuits, call)
+            if not held:
+                self._count("glare lost")
+                raise offers.Unfit(
+                    503,
+                    f"circuits {offer.circuits} are not to be had",
+                    reason=fields.reason(fields.NOT_THIS_CIRCUIT),
+                )
+            if losers:
+                self._count("glare yielded")
+            call.ledger, call.circuits, call.transit = ledger, offer.circuits, True
+            self.dirty.add(offer.trunk)
+        self.transactions.respond(now, tx, response(message, 100))
+        tx.owner = call
+        self.calls[name] = self.merged[mark] = call
+        self._log("debug", "call offered", name, dest=offer.dest, transit=call.transit)
+        if offer.dest == self.settings.number:
+            self._to_lines(now, call)
+            return
+        self.events.append(
+            io.CallOffered(
+                name,
+                offer.cls,
+                offer.dest,
+                offer.width,
+                expires,
+                offer.number,
+                offer.hint,
+                call.transit,
+                offer.redialled,
+                offer.was_cut,
+            )  # fmt: skip
+        )
+
+    def _to_lines(self, now: int, call: Call) -> None:
+        """A call for our own subscribers has one place to go; there is nothing to decide."""
+        call.local = True
+        address = self.settings.lines or ""
+        attempt = call.attempt = Attempt(call, 0, address, -1, now, call.expires)
+        if address not in self.links:
+            attempt.state = AttemptState.OVER
+            self._final(now, call, response(call.invite, 480, call.tag))
+            return
+        self._transmit_invite(now, call, attempt, self.links[address])
+
+    def _cancelled(self, now: int, tx: Transaction, message: Message) -> None:
+        target = self.transactions.servers.get(self.transactions.server_key(message, "INVITE"))
+        if target is None:
+            raise offers.Unfit(481, "nothing to cancel")
+        self.transactions.respond(now, tx, response(message, 200, self._id()))
+        call = target.owner
+        if isinstance(call, Call) and call.state is CallState.OFFERED:
+            self._gone(now, call)
+            self._final(now, call, response(call.invite, 487, call.tag))
+
+    def _bye(self, now: int, tx: Transaction, message: Message) -> None:
+        leg = self.dialogs.get((message.call_id, message.to_tag))
+        if leg is None or leg.dialog is None:
+            raise offers.Unfit(481, "no such call")
+        if not leg.dialog.accepts(message):
+            raise offers.Unfit(500, "CSeq is lower than the last")
+        self.transactions.respond(now, tx, response(message, 200))
+        self._end_leg(leg)
+        outcome = io.Outcome.CUT if mapping.was_cut(message) else io.Outcome.RELEASED
+        reason = message.get("reason") or fields.reason(fields.NORMAL)
+        if isinstance(leg, Call):
+            if leg.attempt is not None:
+                self._hang_up(now, leg.attempt, reason)
+            self._over(now, leg, outcome)
+        else:
+            if leg.call.attempt is leg and leg.call.state is CallState.STANDING:
+                self._hang_up(now, leg.call, reason)
+                self._over(now, leg.call, outcome)
+
+    def _options(self, now: int, tx: Transaction, message: Message) -> None:
+        offers.require(message)
+        answer = response(message, 200, self._id())
+        answer.set("allow", ", ".join(offers.METHODS))
+        self.transactions.respond(now, tx, answer)
+
+    def _notify(self, now: int, tx: Transaction, message: Message) -> None:
+        """The whole set of a group's blocked circuits (docs/protocol.md)."""
+        if message.get("event") != fields.CIRCUITS:
+            raise offers.Unfit(489, f"event {message.get('event')[:40]!r}; allowed: {fields.CIRCUITS}")
+        number = self.reader.trunk(message)
+        if number < 0:
+            raise offers.Unfit(400, "the Contact names no trunk group")
+        text = message.get(fields.CIRCUITS)
+        try:
+            blocked = set(read_ranges(text)) if text else set()
+        except ValueError:
+            raise offers.Unfit(400, f"circuits {text[:40]!r} are no ranges") from None
+        self.transactions.respond(now, tx, response(message, 200, self._id()))
+        ledger = self.ledgers[number]
+        ledger.unblock(sorted(ledger.blocked - blocked))
+        self.dirty.add(number)
+        self._log("warning", "circuits blocked", peer=number, blocked=len(blocked), size=ledger.size)
+        for owner in ledger.block(sorted(blocked)):
+            if isinstance(owner, Call | Attempt):
+                self._cut(now, owner, fields.NETWORK_OUT, lost=False)
+
+    def _answer(self, now: int, tx: Transaction, message: Message) -> None:
+        owner = tx.owner
+        if isinstance(owner, ProbeOut):
+            if message.status >= 200:
+                self._probed(now, owner, message)
+        elif isinstance(owner, Attempt) and tx is owner.tx:
+            self._attempt_answer(now, tx, owner, message)
+        elif isinstance(owner, Call | Attempt) and message.status >= 200:
+            self._released(owner)  # our BYE was answered
+
+    def _attempt_answer(self, now: int, tx: Transaction, attempt: Attempt, message: Message) -> None:
+        if message.status < 200:
+            self._press(now, attempt)
+            return
+        call = attempt.call
+        if message.status < 300:
+            assert attempt.invite is not None
+            self.out.append((tx.flow, acknowledge(attempt.invite, message, self._via(tx.flow)).encode()))
+            if attempt.dialog is not None:
+                return  # the same 2xx again
+            attempt.dialog = Dialog.of_client(attempt.invite, message, tx.flow)
+            self.dialogs[attempt.invite.call_id, attempt.invite.from_tag] = attempt
+            self._stand_on(tx.flow, attempt)
+            if attempt.state in OPEN and call.state is CallState.OFFERED:
+                self._stands(now, call, attempt, message)
+            else:
+                # Danger: the far end holds a call that nobody wants, and its circuits.  Given up, crossed by
+                # the caller's CANCEL, or lost a glare: it is acknowledged, then released.
+                self._count("answer after give-up")
+                told = attempt.state in OPEN
+                self._hang_up(now, attempt, fields.reason(fields.NORMAL))
+                if told:
+                    self._attempt_over(
+                        now, attempt, io.Outcome.CANCELLED, io.Cause.NONE, None, 0, release=False
+                    )
+            return
+        outcome, cause, wait = mapping.outcome(message)
+        was = attempt.state
+        self._free(attempt)
+        attempt.state = AttemptState.OVER
+        if was in OPEN:
+            call.beyond_full = cause is io.Cause.PROCESSOR_FULL
+            if was is AttemptState.CANCELLING and message.status == 487:
+                outcome, cause = io.Outcome.CANCELLED, io.Cause.NONE
+            if call.local:
+                self._relay_failure(now, call, message)
+            else:
+                self._attempt_over(now, attempt, outcome, cause, message, wait)
+        self._tidy(call)
+
+    def _stands(self, now: int, call: Call, attempt: Attempt, message: Message) -> None:
+        attempt.state = AttemptState.STANDING
+        answer = response(call.invite, 200, call.tag)
+        answer.set("contact", self._contact())
+        if call.local:
+            fields.add_load(answer, fields.read_load(message))
+        if message.body:
+            answer.body = message.body
+            answer.set("content-type", message.get("content-type"))
+        call.state = CallState.STANDING
+        call.dialog = Dialog.of_server(call.invite, answer, call.flow)
+        self.dialogs[call.invite.call_id, call.tag] = call
+        self._stand_on(call.flow, call)
+        self.transactions.respond(now, call.tx, answer)
+        self._log("debug", "call stands", call.name, office=attempt.office, leg=attempt.leg)
+        if not call.local:
+            self.events.append(io.CallStands(call.name, attempt.leg, attempt.office, now - attempt.sent_at))
+
+    def _relay_failure(self, now: int, call: Call, message: Message) -> None:
+        answer = response(call.invite, message.status if message.status != 487 else 480, call.tag)
+        for name in ("reason", "retry-after", fields.PAUSE):
+            answer.set(name, message.get(name) or None)
+        fields.add_load(answer, fields.read_load(message))
+        self._final(now, call, answer)
+
+    def _no_answer(self, now: int, tx: Transaction, broken: bool) -> None:
+        owner = tx.owner
+        if isinstance(owner, ProbeOut):
+            self._probed(now, owner, None)
+        elif isinstance(owner, Call) and tx is owner.tx:
+            if owner.state is CallState.OFFERED:
+                self._gone(now, owner)
+                self._finish(now, owner)
+            elif owner.state is CallState.STANDING and not broken:
+                self._log("warning", "answer never acknowledged", owner.name)
+                self._cut(now, owner, fields.TEMPORARY, lost=False)
+        elif isinstance(owner, Attempt) and tx is owner.tx:
+            was, owner.state = owner.state, AttemptState.OVER
+            self._free(owner)
+            if was in OPEN:
+                # A lost connection is a reset; a transaction that timed out is silence.
+                outcome = io.Outcome.CUT if broken else io.Outcome.NO_ANSWER
+                if owner.call.local:
+                    self._final(now, owner.call, response(owner.call.invite, 480, owner.call.tag))
+                else:
+                    self._attempt_over(now, owner, outcome, io.Cause.NONE, None, 0)
+            self._tidy(owner.call)
+        elif isinstance(owner, Call | Attempt):
+            if not broken:
+                self._log(
+                    "warning", "release never answered", self._name(owner), circuits=len(owner.circuits)
+                )
+            self._released(owner)
+
+    # -- the module's actions ------------------------------------------------------------------------------
+
+    def _send(self, now: int, action: io.Send) -> None:
+        call = self.calls.get(action.call)
+        number = self.offices.get(action.office, -1)
+        if call is None or call.state is not CallState.OFFERED:
+            # Its end stood in the batch that the module has just answered: nothing goes out.
+            width = self.settings.classes[0].width if call is None else call.width
+            if number in self.told:
+                self.told[number] = (self.told[number][0] - width, self.told[number][1])
+                self.dirty.add(number)
+            self.events.append(
+                io.AttemptEnded(action.call, 0, action.office, io.Outcome.NOT_SENT, io.Cause.NONE, True, 0)
+            )
+            return
+        leg, call.legs = call.legs, call.legs + 1
+        attempt = Attempt(call, leg, action.office, number, now, action.until)
+        ledger, flow = self.ledgers.get(number), self.links.get(action.office)
+        if number in self.told:  # the module has taken these off the free ones itself
+            free, size = self.told[number]
+            self.told[number] = (free - call.width, size)
+        if ledger is not None:
+            self.dirty.add(number)
+        if flow is None or ledger is None:
+            attempt.state = AttemptState.OVER
+            self._attempt_over(now, attempt, io.Outcome.UNREACHABLE, io.Cause.NONE, None, 0)
+            return
+        attempt.circuits = ledger.seize(call.width, attempt)
+        if not attempt.circuits:
+            attempt.state = AttemptState.OVER
+            self._attempt_over(now, attempt, io.Outcome.NOT_SENT, io.Cause.NO_CIRCUIT, None, 0)
+            return
+        attempt.ledger = ledger
+        call.attempt = attempt
+        self._transmit_invite(now, call, attempt, flow)
+
+    def _transmit_invite(self, now: int, call: Call, attempt: Attempt, flow: int) -> None:
+        incoming = call.invite
+        user = incoming.uri.partition(":")[2].partition("@")[0].partition(";")[0]
+        invite = request(
+            "INVITE", f"sip:{user}@{attempt.office}", via=self._via(flow),
+            sender=f"<sip:{self.settings.name}@{self.here}>;tag={self._id()}",
+            to=f"<sip:{user}@{attempt.office}>",
+            call_id=f"{self._id()}@{self.here}", cseq=1, hops=int(incoming.get("max-forwards", "70")) - 1,
+        )  # fmt: skip
+        headers = invite.headers
+        headers["session-id"] = [call.session]
+        headers[self.reader.class_header] = [self.settings.classes[call.cls].name]
+        headers[fields.PATIENCE] = [str(max(attempt.until - now, 0) // fields.MS)]
+        if attempt.ledger is not None:
+            group = offers.group_name(self.settings.number, attempt.number)
+            headers["contact"] = [fields.trunk_contact(self.here, group, self.settings.context)]
+            headers[fields.CIRCUITS] = [fields.write_circuits(attempt.circuits)]
+        else:
+            headers["contact"] = [self._contact()]
+        if incoming.body:
+            headers["content-type"] = [incoming.get("content-type")]
+            invite.body = incoming.body
+        attempt.invite = invite
+        attempt.tx = self._ask(now, flow, invite)
+        attempt.tx.owner = attempt
+        self._at(attempt.until, lambda at: self._until(at, attempt))
+        self._log("debug", "set-up sent", call.name, office=attempt.office, leg=attempt.leg)
+
+    def _until(self, now: int, attempt: Attempt) -> None:
+        """The attempt's time is up: the module is told, the far end called off, its circuits stay seized."""
+        if attempt.state not in OPEN:
+            return
+        attempt.state = AttemptState.GIVEN_UP
+        self._call_off(now, attempt)
+        if attempt.call.local:
+            self._final(now, attempt.call, response(attempt.call.invite, 480, attempt.call.tag))
+        else:
+            self._attempt_over(now, attempt, io.Outcome.NO_ANSWER, io.Cause.NONE, None, 0)
+
+    def _cancel(self, now: int, action: io.Cancel) -> None:
+        call = self.calls.get(action.call)
+        attempt = call.attempt if call is not None else None
+        if attempt is None or attempt.leg != action.leg or attempt.state is not AttemptState.OUT:
+            return
+        attempt.state = AttemptState.CANCELLING
+        self._call_off(now, attempt)
+
+    def _refuse(self, now: int, action: io.Refuse) -> None:
+        call = self.calls.get(action.call)
+        if call is None:
+            return
+        self._log("debug", "call refused", call.name, pause=action.pause)
+        self._final(
+            now, call, mapping.refusal(call.invite, call.tag, action.pause, call.transit, call.beyond_full)
+        )
+
+    def _abandon(self, now: int, action: io.Abandon) -> None:
+        call = self.calls.get(action.call)
+        if call is None:
+            return
+        self._log("debug", "call abandoned", call.name)
+        self._final(now, call, mapping.failure(call.invite, call.tag, call.legs > 0, call.transit))
+
+    def _set_timer(self, now: int, action: io.SetTimer) -> None:
+        token = action.token
+        self._at(action.due, lambda at: self.events.append(io.TimerDue(token)))
+
+    def _probe(self, now: int, action: io.Probe) -> None:
+        flow = self.links.get(action.office)
+        probe = ProbeOut(action.office, now)
+        if flow is None:
+            self._probed(now, probe, None)
+            return
+        options = request(
+            "OPTIONS", f"sip:{action.office}", via=self._via(flow), to=f"<sip:{action.office}>",
+            sender=f"<sip:{self.settings.name}@{self.here}>;tag={self._id()}",
+            call_id=f"{self._id()}@{self.here}", cseq=1,
+        )  # fmt: skip
+        self._ask(now, flow, options).owner = probe
+
+    def _probed(self, now: int, probe: ProbeOut, message: Message | None) -> None:
+        ledger = self.ledgers.get(self.offices.get(probe.office, -1))
+        answered = message is not None and message.status < 300
+        self.events.append(
+            io.OfficeHeard(
+                probe.office, False, answered, now - probe.sent_at, mapping.report(ledger, message)
+            )
+        )
+
+    def _subscribe(self, now: int, action: io.Subscribe) -> None:
+        self.effects.append(fx.AskRegister())
+
+    def _note(self, now: int, action: io.Note) -> None:
+        self._log("warning", action.text)
+
+    # -- release -------------------------------------------------------------------------------------------
+
+    def _drain_over(self, now: int) -> None:
+        """The stop has waited long enough for the calls that still stand."""
+        for call in list(self.calls.values()):
+            if call.state is CallState.STANDING:
+                self._cut(now, call, fields.TEMPORARY, lost=False)
+
+
+REQUESTS: dict[str, Callable[[Engine, int, Transaction, Message], None]] = {
+    "INVITE": Engine._invite,
+    "CANCEL": Engine._cancelled,
+    "BYE": Engine._bye,
+    "OPTIONS": Engine._options,
+    "NOTIFY": Engine._notify,
+}
+ACTIONS: dict[type, Callable[[Engine, int, Any], None]] = {
+    io.Send: Engine._send,
+    io.Refuse: Engine._refuse,
+    io.Abandon: Engine._abandon,
+    io.Cancel: Engine._cancel,
+    io.SetTimer: Engine._set_timer,
+    io.Probe: Engine._probe,
+    io.Subscribe: Engine._subscribe,
+    io.Note: Engine._note,
+}
--- /dev/null
+++ b/eiderstep/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Rehearsals: the virtual clock, day scripts, runs, measurements."""
--- /dev/null
+++ b/eiderstep/lab/world.py
@@ -0,0 +1,260 @@
+"""One day's world: call servers, stand-ins, proxies and registers on one event loop, virtual or real."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from eiderstep.audit import Capture, ColdStart, Facts
+from eiderstep.config.schema import Limits, Peer, Register, Route, ServerSettings
+from eiderstep.lab.clock import VirtualLoop
+from eiderstep.lab.script import SECOND, Day
+from eiderstep.server.node import CallServer
+from eiderstep.standin.callers import Callers, Class, Manners
+from eiderstep.standin.exchange import Exchange, Plant
+from eiderstep.standin.proxy import Proxy
+from eiderstep.standin.register import Entry
+from eiderstep.standin.register import Register as RegisterStandin
+
+NUMBERS = 1000  # subscribers of one exchange that are called
+Log = Callable[[str, str, str, dict[str, Any]], None]
+
+
+@dataclass
+class Site:
+    """One exchange with a call server of the product: its server, its register, its callers."""
+
+    number: int
+    register: RegisterStandin
+    server: CallServer
+    callers: Callers
+
+
+def prefix(number: int) -> str:
+    """The digits that the numbers of an exchange begin with."""
+    return f"{4000 + number}"
+
+
+class World:
+    """All that runs on a day.  `servers`: the exchanges that the product runs; the rest are stand-ins."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, day: Day, seed: int, log: Log, servers: tuple[int, ...] = (0,)
+    ) -> None:
+        self.loop, self.day, self.seed, self.log = loop, day, seed, log
+        self.rng = Random(seed)
+        self.capture = Capture()
+        self.servers = servers
+        self.exchanges: dict[int, Exchange] = {}
+        self.past: list[Exchange] = []
+        self.proxies: dict[tuple[int, int], Proxy] = {}
+        self.sites: dict[int, Site] = {}
+        self.starts: list[tuple[int, float]] = []
+        self.began = 0.0
+
+    # -- building ------------------------------------------------------------------------------------------
+
+    def place(self, number: int) -> None:
+        """Sockets made from here on belong to that exchange's district."""
+        if isinstance(self.loop, VirtualLoop):
+            self.loop.at(f"district {number % self.day.fleet.districts}")
+
+    def linked(self, one: int, other: int) -> bool:
+        return sorted((one, other)) not in [sorted(pair) for pair in self.day.fleet.unlinked]
+
+    def plant(self, number: int, alone: bool) -> Plant:
+        fleet, cold = self.day.fleet, self.day.rules.cold
+        others = [n for n in range(fleet.count) if n != number]
+        return Plant(
+            number=number,
+            circuits={} if alone else {n: fleet.circuits if self.linked(number, n) else 0 for n in others},
+            numbers={prefix(n): n for n in range(fleet.count)},
+            context=self.day.name,
+            capacity=fleet.capacity,
+            refuse_past=fleet.refuse_past / SECOND,
+            names_wait=fleet.names_wait,
+            report=fleet.report,
+            refresh=fleet.refresh / SECOND,
+            cold_share=cold.share,
+            cold_time=cold.time / SECOND,
+            fall_multiple=cold.multiple if fleet.can_fall and cold.time else 0.0,
+            fall_window=cold.window / SECOND,
+            busy_lines=fleet.busy_lines,
+        )
+
+    async def build(self) -> None:
+        """Everything listens, then the links are made, then the servers start."""
+        fleet = self.day.fleet
+        if isinstance(self.loop, VirtualLoop):
+            for one in range(fleet.districts):
+                for other in range(fleet.districts):
+                    if one != other:
+                        pair = (f"district {one}", f"district {other}")
+                        self.loop.network.delays[pair] = fleet.delay / SECOND
+        for number in range(fleet.count):
+            self.place(number)
+            self.exchanges[number] = await self.start_exchange(number, None)
+        for one in range(fleet.count):
+            for other in range(fleet.count):
+                if one != other and (one in self.servers or other in self.servers):
+                    self.place(other)
+                    proxy = Proxy(self.loop, self.exchanges[other].address)
+                    await proxy.listen()
+                    self.proxies[one, other] = proxy
+        for number in self.servers:
+            self.place(number)
+            self.sites[number] = await self.start_site(number)
+        for number, site in self.sites.items():
+            for other in range(fleet.count):
+                if other != number:
+                    self.proxies[other, number].target = site.server.address
+        for number in range(fleet.count):
+            if number not in self.servers:
+                await self.join(number)
+        for site in self.sites.values():
+            self.place(site.number)
+            await site.callers.connect()
+
+    async def start_exchange(self, number: int, started: float | None) -> Exchange:
+        alone = number in self.servers
+        exchange = Exchange(self.loop, self.plant(number, alone), Random(self.rng.getrandbits(64)), started)
+        await exchange.listen()
+        if started is not None:
+            self.starts.append((number, started))
+        return exchange
+
+    async def join(self, number: int) -> None:
+        """A stand-in dials its neighbours: proxies toward call servers, the others directly."""
+        neighbours = {}
+        for other in self.exchanges:
+            if other != number:
+                proxy = self.proxies.get((number, other))
+                neighbours[other] = proxy.address if proxy is not None else self.exchanges[other].address
+        self.place(number)
+        await self.exchanges[number].join(neighbours)
+
+    def settings(self, number: int, register: str) -> ServerSettings:
+        fleet, day = self.day.fleet, self.day
+        others = [n for n in range(fleet.count) if n != number]
+        return ServerSettings(
+            number=number,
+            listen="127.0.0.1:0",
+            context=day.name,
+            name=f"server-{number}",
+            classes=day.classes,
+            peers=[
+                Peer(
+                    number=n, address=self.proxies[number, n].address, zone=n % fleet.districts,
+                    circuits=fleet.circuits if self.linked(number, n) else 0,
+                )
+                for n in others
+            ],
+            dial_plan=[Route(prefix=prefix(n), exchange=n) for n in range(fleet.count)],
+            lines=self.exchanges[number].address,
+            controllers=max(len(self.servers), 1),
+            ordinal=self.servers.index(number),
+            rules=day.rules,
+            register=Register(address=register),
+            limits=Limits(first_message=3 * SECOND, drain=2 * SECOND),
+            seed=self.seed * 1009 + number,
+        )  # fmt: skip
+
+    async def start_site(self, number: int) -> Site:
+        register = RegisterStandin(self.loop, self.day.fleet.register_lag / SECOND)
+        await register.listen()
+        for other in self.exchanges:
+            if other != number:
+                address = self.proxies[number, other].address
+                register.entries[address] = Entry(address, other, zone=other % self.day.fleet.districts)
+        settings = self.settings(number, register.address)
+        server = CallServer(self.loop, settings, self.log, self.capture.tracer(settings.name))
+        await server.start()
+        callers_part = self.day.callers
+        manners = Manners(
+            patience=callers_part.patience / SECOND,
+            redials=callers_part.redials,
+            redial_wait=(callers_part.waits[0] / SECOND, callers_part.waits[1] / SECOND),
+            heeds_pause=callers_part.heeds,
+            leaves_early=callers_part.leaves,
+            marks=callers_part.marks,
+        )
+        callers = Callers(
+            self.loop, server.address, Random(self.rng.getrandbits(64)), manners, callers_part.connections,
+            f"c{number}",
+        )  # fmt: skip
+        return Site(number, register, server, callers)
+
+    # -- what a script does to it --------------------------------------------------------------------------
+
+    def toward(self, number: int) -> list[Proxy]:
+        """The proxies on the way between call servers and an exchange."""
+        return [p for pair, p in self.proxies.items() if number in pair]
+
+    def tell(self, number: int, state: str, started: float | None = None) -> None:
+        """The registers learn of a change."""
+        for site in self.sites.values():
+            if site.number != number:
+                address = self.proxies[site.number, number].address
+                zone = number % self.day.fleet.districts
+                site.register.change(Entry(address, number, state, started, zone))
+
+    def kill(self, number: int) -> None:
+        """The processor dies: what stood there is lost."""
+        self.past.append(self.exchanges[number])
+        self.exchanges[number].die()
+        for pair, proxy in self.proxies.items():
+            if pair[1] == number and number not in self.servers:
+                proxy.cut()
+
+    async def revive(self, number: int) -> None:
+        """It starts again, cold, at the same address."""
+        self.place(number)
+        exchange = self.exchanges[number] = await self.start_exchange(number, self.loop.time())
+        if number in self.servers:
+            return
+        for pair, proxy in self.proxies.items():
+            if pair[1] == number:
+                proxy.target = exchange.address
+                proxy.mend()
+        await self.join(number)
+        for other, neighbour in self.exchanges.items():
+            if other not in self.servers and other != number:
+                old = neighbour.neighbours.get(number)
+                neighbour.neighbours[number] = exchange.address
+                if old != exchange.address:
+                    neighbour._keep(exchange.address)
+
+    # -- traffic -------------------------------------------------------------------------------------------
+
+    def classes(self) -> list[Class]:
+        return [
+            Class(c.name, c.worth, c.aim / SECOND, c.mean_hold / SECOND, c.late_share)
+            for c in self.day.classes
+        ]
+
+    def number_of(self, dest: int, rng: Random) -> str:
+        return f"{prefix(dest)}{rng.randrange(NUMBERS):04d}"
+
+    # -- what came of it -----------------------------------------------------------------------------------
+
+    def facts(self) -> Facts:
+        rules = self.day.rules
+        return Facts(
+            release_wait=rules.release_wait,
+            drain_grace=rules.drain_grace,
+            cold_share=rules.cold.share,
+            cold_time=rules.cold.time,
+            cold_multiple=rules.cold.multiple,
+            cold_window=rules.cold.window,
+            starts=tuple(
+                ColdStart(
+                    frozenset(p.address for pair, p in self.proxies.items() if pair[1] == number),
+                    int(at * SECOND),
+                    self.day.fleet.capacity,
+                )
+                for number, at in self.starts
+            ),
+        )
--- /dev/null
+++ b/eiderstep/server/node.py
@@ -0,0 +1,279 @@
+"""One call server: listeners, links to peers, the register, and the engine between them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any
+
+from eiderstep import interface as io
+from eiderstep.config.schema import ServerSettings
+from eiderstep.engine import effects as fx
+from eiderstep.engine.core import Engine
+from eiderstep.server.register import RegisterClient
+from eiderstep.server.wire import DatagramWire, StreamWire, Trace
+from eiderstep.sip.message import Message, split_address
+from eiderstep.sip.parser import BadMessage, Limits
+
+SECOND = 1_000_000_000
+REDIAL_CAP = 8  # times the first pause between two dials
+LAST_WORDS = 1.0  # seconds that a stop waits for the answers to its own releases
+
+Logger = Callable[[str, str, str, dict[str, Any]], None]
+
+
+class CallServer:
+    """The process's one call server.  `log` gets level, event, call id and fields."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: ServerSettings,
+        log: Logger,
+        trace: Trace | None = None,
+    ) -> None:
+        self.loop, self.settings, self.log, self.trace = loop, settings, log, trace
+        limits = settings.limits
+        self.limits = Limits(limits.line, limits.head, limits.headers, limits.body)
+        self.rng = Random(settings.seed ^ 0xD1A1)
+        self.wires: dict[int, StreamWire] = {}
+        self.inbound: dict[int, float] = {}  # flows that have said nothing yet, and when they came
+        self.dials: dict[str, asyncio.Task[None]] = {}
+        self.datagrams: DatagramWire | None = None
+        self.datagram_flows: dict[tuple[str, int], int] = {}
+        self.datagram_peers: dict[int, tuple[str, int]] = {}
+        self.flows = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = self.clock = 0
+        self.server: Any = None
+        self.address = ""
+        self.engine: Engine | None = None
+        self.register: RegisterClient | None = None
+        self.stopped = loop.create_future()
+        self.overdue = 0.0  # how late the last timer came (s), the loop's own lag
+
+    def now(self) -> int:
+        """Integer nanoseconds of the loop's clock; it never goes back, not by a rounding either."""
+        self.clock = max(int(self.loop.time() * SECOND), self.clock)
+        return self.clock
+
+    async def start(self) -> None:
+        """Bind, dial the peers once, follow the register, then serve."""
+        host, port = split_address(self.settings.listen)
+        self.server = await self.loop.create_server(self._accept, host, port, backlog=1024)
+        name = self.server.sockets[0].getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        self.engine = Engine(self.settings, self.address)
+        if self.settings.udp:
+            _, self.datagrams = await self.loop.create_datagram_endpoint(
+                lambda: DatagramWire(self, self._datagram_flow), local_addr=(host, name[1])
+            )
+        self.engine.begin(self.now())
+        self._flush()
+        if self.dials:
+            # Calls that come before the first dial is over would find every exchange out of reach.
+            await asyncio.wait(list(self.dials.values()), timeout=self.settings.limits.dial / SECOND)
+        if self.settings.register is not None:
+            self.register = RegisterClient(
+                self.loop, self.settings.register, self._news, self._register_note, self.rng, self.trace
+            )
+            self.register.start()
+        self._sweep()
+        self.log("info", "serving", "", {"address": self.address, "exchange": self.settings.number})
+
+    def stop(self) -> None:
+        """An orderly stop (SIGTERM); `stopped` is done when all is answered and released."""
+        assert self.engine is not None
+        if self.register is not None:
+            self.register.stop()
+        self.engine.stop(self.now())
+        self.log("info", "stopping", "", {"calls": len(self.engine.calls)})
+        self.loop.call_later(self.settings.limits.drain / SECOND + LAST_WORDS, self._end)
+        self._flush()
+
+    def kill(self) -> None:
+        """Gone at once, as a killed process is: nothing is answered."""
+        if self.register is not None:
+            self.register.stop()
+        self.engine = None
+        if self.timer is not None:
+            self.timer.cancel()
+        self._shut(abort=True)
+
+    def _end(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
+            self._shut(abort=False)
+            self.log("info", "stopped", "", {})
+
+    def _shut(self, abort: bool) -> None:
+        self.server.close()
+        for task in self.dials.values():
+            task.cancel()
+        for wire in list(self.wires.values()):
+            if wire.transport is not None:
+                wire.transport.abort() if abort else wire.transport.close()
+        if self.datagrams is not None and self.datagrams.transport is not None:
+            self.datagrams.transport.close()
+
+    # -- connections ---------------------------------------------------------------------------------------
+
+    def _accept(self) -> StreamWire:
+        self.flows += 1
+        return StreamWire(self, self.flows)
+
+    def _datagram_flow(self, address: tuple[str, int]) -> int:
+        flow = self.datagram_flows.get(address)
+        if flow is None:
+            self.flows += 1
+            flow = self.datagram_flows[address] = self.flows
+            self.datagram_peers[flow] = address
+            if self.engine is not None:
+                self.engine.unreliable.add(flow)
+        return flow
+
+    def opened(self, wire: StreamWire) -> None:
+        if not wire.dialled and len(self.wires) >= self.settings.limits.connections:
+            self.log("warning", "too many connections", "", {"peer": wire.peer})
+            wire.close()
+            return
+        self.wires[wire.flow] = wire
+        assert wire.transport is not None
+        wire.transport.set_write_buffer_limits(high=self.settings.limits.unsent // 4)
+        if not wire.dialled:
+            self.inbound[wire.flow] = self.loop.time()
+
+    def closed(self, wire: StreamWire) -> None:
+        self.inbound.pop(wire.flow, None)
+        if self.wires.pop(wire.flow, None) is None or self.engine is None:
+            return
+        self.engine.flow_lost(self.now(), wire.flow)
+        self._flush()
+
+    def came(self, flow: int, items: list[Message | BadMessage], reliable: bool) -> None:
+        """Messages of one segment: one moment for the engine and one batch for the module."""
+        if self.engine is None:
+            return
+        self.inbound.pop(flow, None)
+        now = self.now()
+        for item in items:
+            self.engine.message(now, flow, item, reliable)
+        self._flush()
+
+    def _sweep(self) -> None:
+        """Inbound connections that never say a whole message are closed; so half-open ones cost little."""
+        oldest = self.loop.time() - self.settings.limits.first_message / SECOND
+        for flow, since in list(self.inbound.items()):
+            if since > oldest:
+                break  # they stand in the order in which they came
+            del self.inbound[flow]
+            self.log("info", "idle connection closed", "", {"peer": self.wires[flow].peer})
+            self.wires[flow].close()
+        if not self.stopped.done() and self.engine is not None:
+            self.loop.call_later(self.settings.limits.first_message / SECOND / 4, self._sweep)
+
+    async def _keep(self, address: str) -> None:
+        """Dial an address until it answers, with growing pauses; again once the link is lost."""
+        host, port = split_address(address)
+        limits = self.settings.limits
+        pause = first = limits.redial / SECOND
+        while True:
+            self.flows += 1
+            flow = self.flows
+            try:
+                _, wire = await asyncio.wait_for(
+                    self.loop.create_connection(partial(StreamWire, self, flow, address), host, port),
+                    limits.dial / SECOND,
+                )
+            except (TimeoutError, OSError):
+                await asyncio.sleep(pause * (1 + self.rng.random() / 4))
+                pause = min(2 * pause, REDIAL_CAP * first)
+                continue
+            if self.engine is not None:
+                self.engine.link_up(self.now(), address, flow)
+                self._flush()
+            if self.dials.get(address) is asyncio.current_task():
+                del self.dials[address]
+            return
+
+    # -- the engine's wishes -------------------------------------------------------------------------------
+
+    def _flush(self) -> None:
+        engine = self.engine
+        if engine is None:
+            return
+        for effect in engine.flush(self.now()):
+            if isinstance(effect, fx.Log):
+                self.log(effect.level, effect.event, effect.call, effect.fields)
+            elif isinstance(effect, fx.Dial):
+                if effect.address not in self.dials and effect.address not in engine.links:
+                    self.dials[effect.address] = self.loop.create_task(self._keep(effect.address))
+            elif isinstance(effect, fx.HangUp):
+                task = self.dials.pop(effect.address, None)
+                if task is not None:
+                    task.cancel()
+            elif isinstance(effect, fx.CloseFlow):
+                wire = self.wires.get(effect.flow)
+                if wire is not None:
+                    self.loop.call_soon(wire.close)
+            elif isinstance(effect, fx.AskRegister):
+                if self.register is not None:
+                    self.register.ask()
+            elif isinstance(effect, fx.Finished):
+                self.loop.call_later(0, self._end)
+        self._write(engine)
+        self._arm(engine)
+
+    def _write(self, engine: Engine) -> None:
+        """All bytes of a batch, joined for each connection.
+
+        Danger: a peer that reads nothing makes us hold all we have for it; over the limit it is cut off,
+        which ends its calls and frees its circuits.  Hurts where a healthy peer pauses for long.
+        """
+        if not engine.out:
+            return
+        batches: dict[int, list[bytes]] = {}
+        for flow, data in engine.out:
+            batches.setdefault(flow, []).append(data)
+        engine.out.clear()
+        for flow, parts in batches.items():
+            wire = self.wires.get(flow)
+            if wire is not None:
+                wire.send(parts[0] if len(parts) == 1 else b"".join(parts))
+                if wire.paused and wire.transport is not None:
+                    if wire.transport.get_write_buffer_size() > self.settings.limits.unsent:
+                        self.log("warning", "peer reads nothing", "", {"peer": wire.peer})
+                        self.loop.call_soon(wire.transport.abort)
+            elif self.datagrams is not None and flow in self.datagram_peers:
+                for data in parts:
+                    self.datagrams.send(self.datagram_peers[flow], data)
+
+    def _arm(self, engine: Engine) -> None:
+        due = engine.next_due()
+        if due is None or (self.timer is not None and self.timer_at <= due):
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer_at = due
+        self.timer = self.loop.call_at(due / SECOND, self._due)
+
+    def _due(self) -> None:
+        self.timer = None
+        if self.engine is not None:
+            self.clock = max(self.clock, self.timer_at)  # loops round: a timer may come a shade early
+            now = self.now()
+            self.overdue = (now - self.timer_at) / SECOND
+            self.engine.due(now)
+            self._flush()
+
+    # -- the register --------------------------------------------------------------------------------------
+
+    def _news(self, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
+        if self.engine is not None:
+            self.engine.news(self.now(), kind, entries)
+            self._flush()
+
+    def _register_note(self, event: str, fields: dict[str, Any]) -> None:
+        self.log("warning", event, "", fields)
--- /dev/null
+++ b/eiderstep/server/wire.py
@@ -0,0 +1,102 @@
+"""Protocol classes for SIP over TCP and UDP, and the trace of every byte that passes them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Protocol, cast
+
+from eiderstep.sip.message import Message
+from eiderstep.sip.parser import BadMessage, Limits, Parser, parse_datagram
+
+Trace = Callable[
+    [int, str, str, str, bytes], None
+]  # ns, connection, peer, "in" | "out" | "up" | "down", bytes
+
+
+class Host(Protocol):
+    """What the protocol classes need of the call server."""
+
+    limits: Limits
+    trace: Trace | None
+
+    def now(self) -> int: ...
+    def opened(self, wire: StreamWire) -> None: ...
+    def closed(self, wire: StreamWire) -> None: ...
+    def came(self, flow: int, items: list[Message | BadMessage], reliable: bool) -> None: ...
+
+
+class StreamWire(asyncio.Protocol):
+    """One TCP connection.  `dialled` is the address we called, empty for an inbound one."""
+
+    def __init__(self, host: Host, flow: int, dialled: str = "") -> None:
+        self.host, self.flow, self.dialled = host, flow, dialled
+        self.parser = Parser(host.limits)
+        self.transport: asyncio.Transport | None = None
+        self.peer = dialled
+        self.heard = self.paused = False
+        self.label = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass of it
+        name = transport.get_extra_info("peername")
+        self.peer = self.dialled or (f"{name[0]}:{name[1]}" if name else "?")
+        self.label = f"{'to' if self.dialled else 'from'} {self.peer} #{self.flow}"
+        if self.host.trace is not None:
+            self.host.trace(self.host.now(), self.label, self.peer, "up", b"")
+        self.host.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.host.trace is not None:
+            self.host.trace(self.host.now(), self.label, self.peer, "in", data)
+        items = self.parser.feed(data)
+        if items:
+            self.heard = True
+            self.host.came(self.flow, items, True)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.host.trace is not None:
+            self.host.trace(self.host.now(), self.label, self.peer, "down", b"")
+        self.host.closed(self)
+
+    def pause_writing(self) -> None:
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+
+    def send(self, data: bytes) -> None:
+        """Write, in one piece for a whole batch of messages."""
+        if self.transport is not None and not self.transport.is_closing():
+            if self.host.trace is not None:
+                self.host.trace(self.host.now(), self.label, self.peer, "out", data)
+            self.transport.write(data)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+
+class DatagramWire(asyncio.DatagramProtocol):
+    """The UDP socket.  Each peer address is a flow of its own."""
+
+    def __init__(self, host: Host, flow_of: Callable[[tuple[str, int]], int]) -> None:
+        self.host, self.flow_of = host, flow_of
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if self.host.trace is not None:
+            self.host.trace(self.host.now(), f"udp {addr[0]}:{addr[1]}", f"{addr[0]}:{addr[1]}", "in", data)
+        item = parse_datagram(data, self.host.limits)
+        if item is not None:
+            self.host.came(self.flow_of(addr), [item], False)
+
+    def send(self, addr: tuple[str, int], data: bytes) -> None:
+        if self.transport is not None:
+            if self.host.trace is not None:
+                peer = f"{addr[0]}:{addr[1]}"
+                self.host.trace(self.host.now(), f"udp {peer}", peer, "out", data)
+            self.transport.sendto(data, addr)
--- /dev/null
+++ b/eiderstep/sip/message.py
@@ -0,0 +1,199 @@
+"""A SIP message (RFC 3261 section 7): plain data, made by the parser or by `request` and `response`.
+
+Header values are kept as text, in order, under the long name in lower case.  Nothing is parsed until it is
+asked for: a call server reads five or six of the fifteen headers that pass through it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+VERSION = "SIP/2.0"
+COOKIE = "z9hG4bK"  # section 8.1.1.7: a branch that begins so is unique
+
+COMPACT = {
+    "v": "via", "f": "from", "t": "to", "i": "call-id", "m": "contact", "l": "content-length",
+    "c": "content-type", "e": "content-encoding", "k": "supported", "s": "subject", "o": "event",
+    "u": "allow-events",
+}  # fmt: skip
+SPELLING = {
+    "via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq", "contact": "Contact",
+    "max-forwards": "Max-Forwards", "content-length": "Content-Length", "content-type": "Content-Type",
+    "expires": "Expires", "reason": "Reason", "retry-after": "Retry-After", "session-id": "Session-ID",
+    "allow": "Allow", "event": "Event", "unsupported": "Unsupported", "require": "Require",
+}  # fmt: skip
+PHRASES = {
+    100: "Trying", 180: "Ringing", 200: "OK", 400: "Bad Request", 404: "Not Found",
+    405: "Method Not Allowed", 408: "Request Timeout", 413: "Request Entity Too Large",
+    414: "Request-URI Too Long", 416: "Unsupported URI Scheme", 420: "Bad Extension",
+    480: "Temporarily Unavailable", 481: "Call/Transaction Does Not Exist", 482: "Loop Detected",
+    483: "Too Many Hops", 486: "Busy Here", 487: "Request Terminated", 491: "Request Pending",
+    500: "Server Internal Error", 501: "Not Implemented", 503: "Service Unavailable",
+    504: "Server Time-out", 505: "Version Not Supported", 513: "Message Too Large",
+}  # fmt: skip
+
+
+def spelled(name: str) -> str:
+    """A header's name as it is written on the wire."""
+    known = SPELLING.get(name)
+    return known if known is not None else "-".join(part.capitalize() for part in name.split("-"))
+
+
+class Message:
+    """One request (`method` and `uri` set) or response (`status` above 0)."""
+
+    __slots__ = ("body", "headers", "method", "phrase", "status", "uri")
+
+    def __init__(
+        self,
+        method: str,
+        uri: str,
+        status: int,
+        phrase: str,
+        headers: dict[str, list[str]],
+        body: bytes = b"",
+    ) -> None:
+        self.method, self.uri, self.status, self.phrase = method, uri, status, phrase
+        self.headers, self.body = headers, body
+
+    def __repr__(self) -> str:
+        return f"<{self.line()} {self.get('call-id')}>"
+
+    def line(self) -> str:
+        """The start line."""
+        return (
+            f"{VERSION} {self.status} {self.phrase}" if self.status else f"{self.method} {self.uri} {VERSION}"
+        )
+
+    def get(self, name: str, default: str = "") -> str:
+        """The first value of a header, by its long name in lower case."""
+        values = self.headers.get(name)
+        return values[0] if values else default
+
+    def set(self, name: str, value: str | None) -> None:
+        """Replace a header; None takes it out."""
+        if value is None:
+            self.headers.pop(name, None)
+        else:
+            self.headers[name] = [value]
+
+    @property
+    def cseq(self) -> int:
+        return int(self.get("cseq", "0").split(None, 1)[0])
+
+    @property
+    def cseq_method(self) -> str:
+        return self.get("cseq").rpartition(" ")[2]
+
+    @property
+    def call_id(self) -> str:
+        return self.get("call-id")
+
+    @property
+    def branch(self) -> str:
+        return param(self.get("via"), "branch")
+
+    @property
+    def from_tag(self) -> str:
+        return param(after_angle(self.get("from")), "tag")
+
+    @property
+    def to_tag(self) -> str:
+        return param(after_angle(self.get("to")), "tag")
+
+    def encode(self) -> bytes:
+        """The message as it goes on the wire; Content-Length is always written, as streams need it."""
+        lines = [self.line()]
+        for name, values in self.headers.items():
+            if name != "content-length":
+                written = spelled(name)
+                for value in values:
+                    lines.append(f"{written}: {value}")
+        lines.append(f"Content-Length: {len(self.body)}\r\n\r\n")
+        return "\r\n".join(lines).encode("utf-8", "surrogateescape") + self.body
+
+
+def after_angle(value: str) -> str:
+    """What stands behind `<...>` of a name-addr: its header parameters, not those of the URI."""
+    return value.rpartition(">")[2] if ">" in value else value
+
+
+def in_angle(value: str) -> str:
+    """The URI of a name-addr or addr-spec."""
+    start = value.rfind("<")
+    if start < 0:
+        return value.partition(";")[0].strip()
+    return value[start + 1 : value.find(">", start)]
+
+
+def param(value: str, name: str, default: str = "") -> str:
+    """One `;name=value` parameter, without its quotes; a flag without a value is its own name."""
+    lower = value.lower()
+    at, mark = 0, ";" + name
+    while (at := lower.find(mark, at)) >= 0:
+        at += len(mark)
+        rest = value[at:]
+        if not rest or rest[0] == ";":
+            return name
+        if rest[0] in "= ":
+            text = rest.lstrip(" =")
+            if text.startswith('"'):
+                return text[1:].partition('"')[0]
+            return text.partition(";")[0].partition(",")[0].strip()
+    return default
+
+
+def request(
+    method: str, uri: str, *, via: str, sender: str, to: str, call_id: str, cseq: int, hops: int = 70
+) -> Message:
+    """A request with the six headers that every request carries (section 8.1.1)."""
+    headers = {
+        "via": [via], "max-forwards": [str(hops)], "from": [sender], "to": [to], "call-id": [call_id],
+        "cseq": [f"{cseq} {method}"],
+    }  # fmt: skip
+    return Message(method, uri, 0, "", headers)
+
+
+def response(to: Message, status: int, tag: str = "", phrase: str = "") -> Message:
+    """A response to a request (section 8.2.6): Via, From, To, Call-ID and CSeq are the request's."""
+    headers: dict[str, list[str]] = {
+        name: to.headers[name][:] for name in ("via", "from", "to", "call-id", "cseq") if name in to.headers
+    }
+    if tag and status > 100 and not to.to_tag and "to" in headers:
+        headers["to"] = [f"{to.get('to')};tag={tag}"]
+    return Message("", "", status, phrase or PHRASES.get(status, "Unknown"), headers)
+
+
+def split_address(text: str, port: int = 5060) -> tuple[str, int]:
+    """`host:port` or `[v6]:port`.  Raises ValueError where it is neither."""
+    host, sep, number = text.rpartition(":")
+    if not sep or text.endswith("]"):
+        host, number = text, str(port)
+    if not number.isascii() or not number.isdigit() or not 0 <= int(number) <= 65535 or not host:
+        raise ValueError(f"{text!r} is not host:port")
+    return host.strip("[]"), int(number)
+
+
+def uri_parts(uri: str) -> tuple[str, str, str]:
+    """User, `host:port` and `;params` of a SIP URI; params of the user part (RFC 4904) stay with the user.
+
+    Raises ValueError for another scheme or no host.
+    """
+    scheme, sep, rest = uri.partition(":")
+    if not sep or scheme.lower() not in ("sip", "sips"):
+        raise ValueError(f"{uri!r} is not a SIP URI")
+    user, at, place = rest.rpartition("@")
+    place = place.partition("?")[0]
+    host, semi, params = place.partition(";")
+    if not host or any(c.isspace() for c in uri):
+        raise ValueError(f"{uri!r} names no host")
+    return user if at else "", host, semi + params
+
+
+def header_lines(headers: Iterable[tuple[str, str]]) -> dict[str, list[str]]:
+    """Headers from pairs, by their long names in lower case."""
+    found: dict[str, list[str]] = {}
+    for name, value in headers:
+        key = name.lower()
+        found.setdefault(COMPACT.get(key, key), []).append(value)
+    return found
--- /dev/null
+++ b/eiderstep/sip/parser.py
@@ -0,0 +1,259 @@
+"""An incremental parser of SIP messages on a stream (RFC 3261 sections 7 and 18.3), and of datagrams.
+
+It holds at most one message in hand and refuses what is over its limits before it is read whole: a peer that
+never ends a line costs a bounded amount of memory.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from eiderstep.sip.message import COMPACT, VERSION, Message, after_angle
+
+TOKEN = re.compile(r"[A-Za-z0-9\-.!%*_+`'~]+\Z")
+ONCE = ("from", "to", "call-id", "cseq", "max-forwards", "content-length", "expires")
+NEEDED = ("via", "from", "to", "call-id", "cseq")
+KNOWN_NAMES = 512  # spellings of header names remembered; more are looked at anew each time
+SEQ_LIMIT = 2**31  # section 8.1.1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """The sizes that one message may have, in bytes but for the count of header lines."""
+
+    line: int = 4096
+    head: int = 16384
+    headers: int = 96
+    body: int = 65536
+
+
+class BadMessage(Exception):
+    """What is wrong with a message.  `fatal`: the stream cannot be followed beyond it, so it is closed."""
+
+    def __init__(self, status: int, text: str, fatal: bool = False, message: Message | None = None) -> None:
+        super().__init__(text)
+        self.status, self.text, self.fatal, self.message = status, text, fatal, message
+
+
+_names: dict[str, str] = {}
+
+
+def _key(raw: str) -> str:
+    """The long lower-case name of a header."""
+    known = _names.get(raw)
+    if known is not None:
+        return known
+    name = raw.rstrip(" \t")
+    if not TOKEN.match(name):
+        raise BadMessage(400, f"header name {raw[:40]!r} is not a token")
+    key = COMPACT.get(name.lower(), name.lower())
+    if len(_names) < KNOWN_NAMES:
+        _names[raw] = key
+    return key
+
+
+def _start(line: str) -> Message:
+    """The start line as a message with no headers yet."""
+    if line.startswith("SIP/"):
+        version, _, rest = line.partition(" ")
+        code, _, phrase = rest.partition(" ")
+        if version != VERSION:
+            raise BadMessage(505, f"version {version[:20]!r}, not {VERSION}")
+        if len(code) != 3 or not code.isascii() or not code.isdigit() or not 100 <= int(code) <= 699:
+            raise BadMessage(400, f"status {code[:20]!r} is not 100 to 699")
+        return Message("", "", int(code), phrase, {})
+    parts = line.split(" ")
+    if len(parts) != 3:
+        raise BadMessage(400, f"start line {line[:60]!r} is not method, URI and version")
+    method, uri, version = parts
+    if not version.startswith("SIP/"):
+        raise BadMessage(400, f"{version[:20]!r} is no SIP version")
+    if not TOKEN.match(method):
+        raise BadMessage(400, f"method {method[:20]!r} is not a token")
+    if version != VERSION:
+        raise BadMessage(
+            505, f"version {version[:20]!r}, not {VERSION}", message=Message(method, uri, 0, "", {})
+        )
+    if not uri or uri.startswith("<") or ":" not in uri:
+        raise BadMessage(
+            400, f"request URI {uri[:60]!r} is not a URI", message=Message(method, uri, 0, "", {})
+        )
+    return Message(method, uri, 0, "", {})
+
+
+def parse_head(text: str, limits: Limits) -> tuple[Message, BadMessage | None]:
+    """A message without its body, and the first thing wrong with it that leaves its framing whole."""
+    lines = text.split("\r\n")
+    wrong: BadMessage | None = None
+    try:
+        message = _start(lines[0])
+    except BadMessage as problem:
+        wrong, message = problem, problem.message or Message("?", "?", 0, "", {})
+    if len(lines) - 1 > limits.headers:
+        raise BadMessage(400, f"{len(lines) - 1} header lines, over {limits.headers}", fatal=True)
+    headers, last = message.headers, ""
+    for line in lines[1:]:
+        if line[:1] in (" ", "\t"):
+            if not last:
+                wrong = wrong or BadMessage(400, "a folded line before any header")
+            else:
+                headers[last][-1] += " " + line.strip(" \t")
+            continue
+        name, sep, value = line.partition(":")
+        if not sep:
+            wrong = wrong or BadMessage(400, f"header line {line[:40]!r} has no colon")
+            continue
+        try:
+            last = _key(name)
+        except BadMessage as problem:
+            wrong, last = wrong or problem, ""
+            continue
+        value = value.strip(" \t")
+        if last in headers:
+            headers[last].append(value)
+        else:
+            headers[last] = [value]
+    if "\0" in text or "\n" in text.replace("\r\n", "") or "\r" in text.replace("\r\n", ""):
+        wrong = wrong or BadMessage(400, "a bare CR, LF or NUL in the head")
+    return message, wrong
+
+
+def check(message: Message) -> None:
+    """What every message needs (sections 8.1.1 and 20).  Raises BadMessage; the framing is whole."""
+    headers = message.headers
+    for name in NEEDED:
+        if name not in headers:
+            raise BadMessage(400, f"no {name} header", message=message)
+    for name in ONCE:
+        if len(headers.get(name, ())) > 1:
+            raise BadMessage(400, f"{name} stands {len(headers[name])} times", message=message)
+    number, _, method = headers["cseq"][0].partition(" ")
+    method = method.strip()
+    if not number.isascii() or not number.isdigit() or int(number) >= SEQ_LIMIT or not TOKEN.match(method):
+        raise BadMessage(
+            400, f"CSeq {headers['cseq'][0][:40]!r} is not a number and a method", message=message
+        )
+    headers["cseq"][0] = f"{number} {method}"
+    if message.method and method != message.method:
+        raise BadMessage(
+            400, f"CSeq names {method[:20]!r}, the request is {message.method!r}", message=message
+        )
+    via = headers["via"][0]
+    if not via.upper().startswith("SIP/2.0/") or " " not in via:
+        raise BadMessage(400, f"Via {via[:40]!r} is not SIP/2.0/transport and an address", message=message)
+    for name in ("from", "to"):
+        value = headers[name][0]
+        plain = re.sub(r'"(?:[^"\\]|\\.)*"', "", value) if '"' in value else value
+        if '"' in plain and '"' not in after_angle(plain):
+            raise BadMessage(400, f"{name} has a quote that is not closed", message=message)
+        if plain.count("<") != plain.count(">") or plain.count("<") > 1 or ":" not in plain:
+            raise BadMessage(400, f"{name} {value[:40]!r} is not an address", message=message)
+    if not headers["call-id"][0] or " " in headers["call-id"][0]:
+        raise BadMessage(400, "an empty or broken Call-ID", message=message)
+    for name, top in (("max-forwards", 255), ("expires", 2**32 - 1)):
+        value = headers.get(name, ("0",))[0]
+        if not value.isascii() or not value.isdigit() or int(value) > top:
+            raise BadMessage(400, f"{name} {value[:20]!r} is not a number up to {top}", message=message)
+
+
+def _length(message: Message, limits: Limits) -> int | None:
+    values = message.headers.get("content-length")
+    if values is None:
+        return None
+    if len(set(values)) > 1 or not values[0].isascii() or not values[0].isdigit():
+        raise BadMessage(400, f"Content-Length {', '.join(values)[:40]!r} is not one number", True, message)
+    length = int(values[0]) if len(values[0]) < 12 else limits.body + 1
+    if length > limits.body:
+        raise BadMessage(413, f"a body of {values[0][:12]} bytes, over {limits.body}", True, message)
+    return length
+
+
+class Parser:
+    """Bytes of one connection in, messages out.
+
+    After a fatal BadMessage nothing more is read: where the next message begins is not known.
+    """
+
+    def __init__(self, limits: Limits | None = None) -> None:
+        self.limits = limits or Limits()
+        self.buffer = b""
+        self.dead = False
+        self._head: tuple[Message, BadMessage | None, int] | None = None
+
+    def feed(self, data: bytes) -> list[Message | BadMessage]:
+        """Take what came; return the whole messages and faults in order."""
+        if self.dead:
+            return []
+        self.buffer = self.buffer + data if self.buffer else data
+        found: list[Message | BadMessage] = []
+        try:
+            while (item := self._next()) is not None:
+                found.append(item)
+        except BadMessage as problem:
+            self.dead, self.buffer = True, b""
+            found.append(problem)
+        return found
+
+    def _next(self) -> Message | BadMessage | None:
+        if self._head is None and not self._read_head():
+            return None
+        assert self._head is not None
+        message, wrong, length = self._head
+        if len(self.buffer) < length:
+            return None
+        message.body, self.buffer, self._head = self.buffer[:length], self.buffer[length:], None
+        return finished(message, wrong)
+
+    def _read_head(self) -> bool:
+        buffer = self.buffer
+        if buffer[:1] in (b"\r", b"\n"):  # keep-alives between messages, section 7.5
+            buffer = self.buffer = buffer.lstrip(b"\r\n")
+        end = buffer.find(b"\r\n\r\n", 0, self.limits.head + 4)
+        if end < 0:
+            if len(buffer) > self.limits.head:
+                raise BadMessage(513, f"a head of over {self.limits.head} bytes", True)
+            if len(buffer) > self.limits.line and buffer.find(b"\r\n", 0, self.limits.line + 2) < 0:
+                raise BadMessage(414, f"a start line of over {self.limits.line} bytes", True)
+            return False
+        message, wrong = parse_head(buffer[:end].decode("utf-8", "surrogateescape"), self.limits)
+        length = _length(message, self.limits)
+        if length is None:
+            raise wrong or BadMessage(400, "no Content-Length on a stream", True, message)
+        if wrong is not None and message.method == "?":
+            raise BadMessage(wrong.status, wrong.text, True)
+        if end > self.limits.line and max(map(len, buffer[:end].split(b"\r\n"))) > self.limits.line:
+            wrong = wrong or BadMessage(513, f"a line of over {self.limits.line} bytes")
+        self.buffer, self._head = buffer[end + 4 :], (message, wrong, length)
+        return True
+
+
+def finished(message: Message, wrong: BadMessage | None) -> Message | BadMessage:
+    """A message whose bytes are all here, checked."""
+    try:
+        if wrong is not None:
+            raise BadMessage(wrong.status, wrong.text, False, message)
+        check(message)
+    except BadMessage as problem:
+        return problem
+    return message
+
+
+def parse_datagram(data: bytes, limits: Limits | None = None) -> Message | BadMessage | None:
+    """One datagram (section 18.3): no Content-Length means all that is left; None for a keep-alive."""
+    limits = limits or Limits()
+    data = data.lstrip(b"\r\n")
+    if not data:
+        return None
+    head, sep, body = data.partition(b"\r\n\r\n")
+    try:
+        if not sep or len(head) > limits.head:
+            raise BadMessage(400, "a datagram without a whole head")
+        message, wrong = parse_head(head.decode("utf-8", "surrogateescape"), limits)
+        length = _length(message, limits)
+        if length is not None and length > len(body):
+            raise BadMessage(400, f"Content-Length {length}, but {len(body)} bytes came", message=message)
+    except BadMessage as problem:
+        return problem
+    message.body = body if length is None else body[:length]
+    return finished(message, wrong)
--- /dev/null
+++ b/eiderstep/standin/element.py
@@ -0,0 +1,159 @@
+"""A SIP element for stand-ins: sockets, parser and transactions, with handlers for a subclass to fill."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from eiderstep.sip.message import Message, split_address
+from eiderstep.sip.parser import BadMessage, Parser
+from eiderstep.sip.transaction import Answer, NewRequest, NoAnswer, Times, Transaction, Transactions
+
+SECOND = 1_000_000_000
+
+
+class Wire(asyncio.Protocol):
+    """One connection of an element."""
+
+    def __init__(self, element: Element, flow: int) -> None:
+        self.element, self.flow, self.parser = element, flow, Parser()
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.element.wires[self.flow] = self
+
+    def data_received(self, data: bytes) -> None:
+        self.element.data(self.flow, self.parser.feed(data))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.element.gone(self.flow)
+
+
+class Element:
+    """Listens at one address, dials others, and runs transactions over both."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, name: str, rng: Random, times: Times | None = None
+    ) -> None:
+        self.loop, self.name, self.rng = loop, name, rng
+        self.transactions = Transactions(times)
+        self.wires: dict[int, Wire] = {}
+        self.links: dict[str, int] = {}
+        self.server: Any = None
+        self.address = ""
+        self.flows = self.ids = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.dead = False
+        self.malformed: list[str] = []
+
+    def now(self) -> int:
+        return int(self.loop.time() * SECOND)
+
+    def new_id(self) -> str:
+        self.ids += 1
+        return f"{self.name}-{self.ids:x}"
+
+    def via(self) -> str:
+        return f"SIP/2.0/TCP {self.address};branch=z9hG4bK{self.new_id()}"
+
+    async def listen(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Bind; returns the address."""
+        self.server = await self.loop.create_server(self._accept, host, port, backlog=256)
+        name = self.server.sockets[0].getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        return self.address
+
+    def _accept(self) -> Wire:
+        self.flows += 1
+        return Wire(self, self.flows)
+
+    async def dial(self, address: str) -> int:
+        """A connection to an address; raises OSError."""
+        self.flows += 1
+        flow = self.flows
+        host, port = split_address(address)
+        await self.loop.create_connection(lambda: Wire(self, flow), host, port)
+        self.links[address] = flow
+        return flow
+
+    def data(self, flow: int, items: list[Message | BadMessage]) -> None:
+        if self.dead:
+            return
+        for item in items:
+            if isinstance(item, BadMessage):
+                self.malformed.append(item.text)
+                continue
+            self.transactions.receive(self.now(), flow, item)
+        self.pump()
+
+    def gone(self, flow: int) -> None:
+        self.wires.pop(flow, None)
+        for address in [a for a, f in self.links.items() if f == flow]:
+            del self.links[address]
+        if not self.dead:
+            self.transactions.broken(self.now(), flow)
+            self.on_gone(flow)
+            self.pump()
+
+    def pump(self) -> None:
+        """Hand events to the handlers, write what is to be sent, set the timer."""
+        layer = self.transactions
+        while layer.events:
+            found, layer.events[:] = layer.events[:], []
+            for event in found:
+                if isinstance(event, NewRequest):
+                    self.on_request(event.tx, event.message)
+                elif isinstance(event, Answer):
+                    self.on_answer(event.tx, event.message)
+                elif isinstance(event, NoAnswer):
+                    self.on_no_answer(event.tx, event.broken)
+        out, layer.out[:] = layer.out[:], []
+        for flow, data in out:
+            wire = self.wires.get(flow)
+            if wire is not None and not wire.transport.is_closing():
+                wire.transport.write(data)
+        due = layer.next_due()
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None if due is None else self.loop.call_at(due / SECOND + 1e-6, self._due)
+
+    def _due(self) -> None:
+        if not self.dead:
+            self.transactions.due(self.now())
+            self.pump()
+
+    def later(self, seconds: float, what: Callable[[], object]) -> None:
+        """Do something later, unless the element has died by then."""
+
+        def run() -> None:
+            if not self.dead:
+                what()
+                self.pump()
+
+        self.loop.call_later(seconds, run)
+
+    def die(self) -> None:
+        """As a killed process: connections reset, nothing answered."""
+        self.dead = True
+        if self.server is not None:
+            self.server.close()
+        for wire in list(self.wires.values()):
+            wire.transport.abort()
+        self.wires.clear()
+
+    # -- for subclasses ------------------------------------------------------------------------------------
+
+    def on_request(self, tx: Transaction, message: Message) -> None:
+        raise NotImplementedError
+
+    def on_answer(self, tx: Transaction, message: Message) -> None:
+        raise NotImplementedError
+
+    def on_no_answer(self, tx: Transaction, broken: bool) -> None:
+        """A request of ours got no final answer."""
+
+    def on_gone(self, flow: int) -> None:
+        """A connection is lost."""
