--- a/eiderstep/config/schema.py
+++ b/eiderstep/config/schema.py
@@ -126,7 +126,8 @@
     peers: list[Peer]
     dial_plan: Annotated[list[Route], Meta(min_length=1, description="one route at least")]
     name: Name = "eiderstep"
-    udp: bool = False
+    udp: bool = False  # serve UDP beside TCP, on the same port
+    udp_peers: bool = False  # reach the peers over UDP; nothing then tells that one is gone but silence
     lines: Address | None = None  # the exchange's own subscribers; None: calls to our own number are 404
     class_header: Name = "Eiderstep-Class"
     default_class: str = ""
--- a/eiderstep/engine/calls.py
+++ b/eiderstep/engine/calls.py
@@ -30,8 +30,9 @@
 
     __slots__ = (
         "attempt", "beyond_full", "circuits", "cls", "dest", "dialog", "expires", "flow", "invite", "legs",
-        "ledger", "local", "name", "seized_here", "session", "state", "tag", "transit", "tx", "width",
+        "ledger", "local", "name", "session", "state", "tag", "transit", "tx", "width",
     )  # fmt: skip
+    seized_here = releasing = False
 
     def __init__(
         self, name: str, flow: int, tx: Transaction, invite: Message, tag: str, cls: int, width: int,
@@ -46,16 +47,17 @@
         self.ledger: Ledger | None = None
         self.circuits: tuple[int, ...] = ()
         self.dialog: Dialog | None = None
-        self.transit = self.local = self.beyond_full = self.seized_here = False
+        self.transit = self.local = self.beyond_full = False
 
 
 class Attempt:
     """One set-up sent on.  It owns the circuits that it seized."""
 
     __slots__ = (
-        "call", "circuits", "dialog", "invite", "leg", "ledger", "number", "office", "pressed", "seized_here",
+        "call", "circuits", "dialog", "invite", "leg", "ledger", "number", "office", "pressed",
         "sent_at", "state", "tx", "until",
     )  # fmt: skip
+    seized_here = True
 
     def __init__(self, call: Call, leg: int, office: str, number: int, sent_at: int, until: int) -> None:
         self.call, self.leg, self.office, self.number = call, leg, office, number
@@ -67,4 +69,7 @@
         self.invite: Message | None = None
         self.dialog: Dialog | None = None
         self.pressed = False  # a CANCEL is wanted as soon as a provisional response allows it
-        self.seized_here = True
+
+    @property
+    def releasing(self) -> bool:
+        return self.state is AttemptState.RELEASING
--- a/eiderstep/engine/circuits.py
+++ b/eiderstep/engine/circuits.py
@@ -10,10 +10,23 @@
 
 import heapq
 from collections.abc import Iterable
+from typing import Protocol
+
+
+class Owner(Protocol):
+    """What holds circuits; compared by identity."""
+
+    @property
+    def seized_here(self) -> bool:
+        """Whether this end chose the circuits."""
+
+    @property
+    def releasing(self) -> bool:
+        """Whether this end has asked for the release and only its answer is awaited."""
 
 
 class Ledger:
-    """One group toward one peer.  An owner is any object; it is compared by identity.
+    """One group toward one peer.
 
     `free` is exact at every moment: circuits that are neither busy nor blocked.
     """
@@ -21,7 +34,8 @@
     def __init__(self, size: int, own: int, peer: int) -> None:
         self.total, self.peer = size, peer
         self.parity = 0 if own > peer else 1  # the circuits that this end controls
-        self.busy: dict[int, object] = {}
+        self.busy: dict[int, Owner] = {}
+        self.yielded: dict[int, list[Owner]] = {}  # owners that lost a circuit to a claim, latest last
         self.blocked: set[int] = set()
         self._ours = [c for c in range(size) if c % 2 == self.parity]
         self._theirs = [-c for c in range(size) if c % 2 != self.parity]
@@ -41,7 +55,7 @@
     def controls(self, circuit: int) -> bool:
         return circuit % 2 == self.parity
 
-    def seize(self, width: int, owner: object) -> tuple[int, ...]:
+    def seize(self, width: int, owner: Owner) -> tuple[int, ...]:
         """Take so many circuits, or none: an empty tuple where too few are free."""
         if width < 1 or self.free < width:
             return ()
@@ -55,7 +69,7 @@
                     taken.append(circuit)
         return tuple(taken)
 
-    def claim(self, circuits: Iterable[int], owner: object) -> tuple[bool, list[object]]:
+    def claim(self, circuits: Iterable[int], owner: Owner) -> tuple[bool, list[Owner]]:
         """The far end says that it seized these.
 
         Returns whether the claim holds, and the owners on this side that lose circuits to it.  A claim fails
@@ -63,33 +77,51 @@
         here that this end controls.
         """
         wanted = list(circuits)
-        losers: list[object] = []
+        losers: list[Owner] = []
         for circuit in wanted:
             if not 0 <= circuit < self.total or circuit in self.blocked:
                 return False, []
             holder = self.busy.get(circuit)
             if holder is None or holder is owner:
                 continue
-            if self.controls(circuit) or not getattr(holder, "seized_here", False):
+            # Danger: the answer to our release can be overtaken, on the other connection, by a set-up on the
+            # circuit that it frees.  The far end has seen our release, or it would not use the circuit.
+            if not holder.releasing and (self.controls(circuit) or not holder.seized_here):
                 return False, []
             losers.append(holder)
         for circuit in wanted:
+            holder = self.busy.get(circuit)
+            if holder is not None and holder is not owner:
+                self.yielded.setdefault(circuit, []).append(holder)
             self.busy[circuit] = owner
         return True, list({id(loser): loser for loser in losers}.values())
 
-    def release(self, circuits: Iterable[int], owner: object) -> None:
-        """Give back what the owner still holds of these; the rest is another's and stays."""
+    def release(self, circuits: Iterable[int], owner: Owner) -> None:
+        """Give back what the owner still holds of these; the rest is another's and stays.
+
+        Danger: one that yielded a circuit may hold it again once the claimant is gone, where its set-up met
+        the far end after that: so it gets it back, and the circuit is free when both are done.  Hurts
+        nothing but that a circuit whose set-up was refused is busy until that refusal comes.
+        """
         for circuit in circuits:
-            if self.busy.get(circuit) is owner:
+            before = self.yielded.get(circuit, [])
+            if self.busy.get(circuit) is not owner:
+                if owner in before:
+                    before.remove(owner)
+            elif before:
+                self.busy[circuit] = before.pop()
+            else:
                 del self.busy[circuit]
                 if circuit in self.blocked:
                     self._busy_blocked -= 1
                 else:
                     self._list(circuit)
+            if not before:
+                self.yielded.pop(circuit, None)
 
-    def block(self, circuits: Iterable[int]) -> list[object]:
+    def block(self, circuits: Iterable[int]) -> list[Owner]:
         """Circuits lost: returns the owners of calls on them, whose calls are cut."""
-        owners: dict[int, object] = {}
+        owners: dict[int, Owner] = {}
         for circuit in circuits:
             if 0 <= circuit < self.total and circuit not in self.blocked:
                 self.blocked.add(circuit)
@@ -107,7 +139,7 @@
                 else:
                     self._list(circuit)
 
-    def owners(self) -> list[object]:
+    def owners(self) -> list[Owner]:
         """All that hold circuits, each once, in the order of their circuits."""
         return list({id(o): o for _, o in sorted(self.busy.items(), key=lambda item: item[0])}.values())
 
--- a/eiderstep/engine/core.py
+++ b/eiderstep/engine/core.py
@@ -21,7 +21,7 @@
 from eiderstep.engine.legs import OPEN, Legs
 from eiderstep.sip import fields
 from eiderstep.sip.dialog import Dialog, acknowledge
-from eiderstep.sip.message import Message, request, response
+from eiderstep.sip.message import Message, in_angle, request, response
 from eiderstep.sip.parser import BadMessage
 from eiderstep.sip.transaction import Answer, NewRequest, NoAnswer, Transaction
 
@@ -170,6 +170,8 @@
                     self._answer(now, event.tx, event.message)
                 elif isinstance(event, NoAnswer):
                     self._no_answer(now, event.tx, event.broken)
+                elif 200 <= event.message.status < 300 and event.message.cseq_method == "INVITE":
+                    self._late_success(now, event.flow, event.message)
 
     def _bad(self, flow: int, problem: BadMessage) -> None:
         """Malformed: the right 4xx where it has what a response needs, else only a line and a count."""
@@ -426,6 +428,17 @@
                 )
             self._released(owner)
 
+    def _late_success(self, now: int, flow: int, message: Message) -> None:
+        """A 2xx of a set-up that is forgotten: acknowledged and released, or it stands there for ever."""
+        self._count("answer after give-up")
+        target = in_angle(message.get("contact")) or in_angle(message.get("to"))
+        dialog = Dialog(message.call_id, message.get("from"), message.get("to"), target, flow, message.cseq)
+        invite = Message("INVITE", target, 0, "", dict(message.headers))
+        self.out.append((flow, acknowledge(invite, message, self._via(flow)).encode()))
+        bye = dialog.request("BYE", self._via(flow))
+        bye.set("reason", fields.reason(fields.NORMAL))
+        self._ask(now, flow, bye)
+
     # -- the module's actions ------------------------------------------------------------------------------
 
     def _send(self, now: int, action: io.Send) -> None:
--- a/eiderstep/engine/legs.py
+++ b/eiderstep/engine/legs.py
@@ -98,6 +98,20 @@
             attempt.state = AttemptState.GIVEN_UP
             self._attempt_over(now, attempt, io.Outcome.CANCELLED, io.Cause.NONE, None, 0)
 
+    def _never_ended(self, now: int, attempt: Attempt) -> None:
+        """No final word in 64 x T1 after a CANCEL: the set-up counts as cancelled (section 9.1).
+
+        Danger: its circuits would stay seized for ever.  Hurts where the far end still holds them: it then
+        refuses the next set-up on them, which is a call turned away and no more.
+        """
+        if attempt.state is AttemptState.GIVEN_UP and attempt.tx is not None:
+            self._count("set-ups never ended")
+            self._log("warning", "set-up never ended", attempt.call.name, office=attempt.office)
+            self.transactions.forget(attempt.tx)
+            attempt.state = AttemptState.OVER
+            self._free(attempt)
+            self._tidy(attempt.call)
+
     def _call_off(self, now: int, attempt: Attempt) -> None:
         attempt.pressed = True
         tx = attempt.tx
@@ -113,6 +127,7 @@
             # answers; told only by the far end, never where its answers are lost.  So: its word, or one
             # release wait after the CANCEL.  Hurts a call whose 487 is lost: it waits twice as long.
             self._at(now + self.settings.rules.release_wait, lambda at: self._silent_cancel(at, attempt))
+            self._at(now + self.transactions.times.give_up, lambda at: self._never_ended(at, attempt))
 
     def _final(self, now: int, call: Call, answer: Message) -> None:
         """The one final answer that is no success."""
@@ -201,9 +216,8 @@
         call = leg if isinstance(leg, Call) else leg.call
         reason = fields.reason(cause, "cut")
         if isinstance(leg, Attempt) and leg.state in OPEN:
-            leg.state = AttemptState.GIVEN_UP
+            leg.state = AttemptState.CANCELLING  # told of when the far end has let go of the rest
             self._call_off(now, leg)
-            self._attempt_over(now, leg, io.Outcome.CUT, io.Cause.NONE, None, 0)
             return
         if isinstance(leg, Call) and leg.state is CallState.OFFERED:
             self._gone(now, leg)
--- a/eiderstep/lab/world.py
+++ b/eiderstep/lab/world.py
@@ -16,7 +16,7 @@
 from eiderstep.lab.script import SECOND, Day
 from eiderstep.server.node import CallServer
 from eiderstep.standin.callers import Callers, Class, Manners
-from eiderstep.standin.exchange import Exchange, Plant
+from eiderstep.standin.exchange import Exchange, Plant, lost_circuits, tell_blocked
 from eiderstep.standin.proxy import Proxy
 from eiderstep.standin.register import Entry
 from eiderstep.standin.register import Register as RegisterStandin
@@ -62,6 +62,7 @@
         self.proxies: dict[tuple[int, int], Proxy] = {}
         self.sites: dict[int, Site] = {}
         self.starts: list[tuple[int, float]] = []
+        self.stalls: list[tuple[int, int]] = []
         self.began = 0.0
 
     # -- building ------------------------------------------------------------------------------------------
@@ -251,6 +252,16 @@
                 if old != exchange.address:
                     neighbour._keep(exchange.address)
 
+    def lose_circuits(self, number: int, server: int, keep: float) -> None:
+        """The group of an exchange and a call server keeps this share of its circuits."""
+        if number not in self.servers:
+            self.exchanges[number].block(server, keep)
+            return
+        lost = lost_circuits(self.circuits(number, server), keep)
+        for one in (number, server):  # both ends are call servers: their callers' element tells them
+            site = self.sites[one]
+            tell_blocked(site.callers, site.server.address, (number, server), self.day.name, lost)
+
     # -- traffic -------------------------------------------------------------------------------------------
 
     def classes(self) -> list[Class]:
@@ -301,6 +312,7 @@
             cold_time=rules.cold.time,
             cold_multiple=rules.cold.multiple,
             cold_window=rules.cold.window,
+            stalls=tuple(self.stalls),
             starts=tuple(
                 ColdStart(
                     frozenset(p.address for pair, p in self.proxies.items() if pair[1] == number),
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -66,7 +66,7 @@
         name = self.server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
         self.engine = Engine(self.settings, self.address)
-        if self.settings.udp:
+        if self.settings.udp or self.settings.udp_peers:
             _, self.datagrams = await self.loop.create_datagram_endpoint(
                 lambda: DatagramWire(self, self._datagram_flow), local_addr=(host, name[1])
             )
@@ -214,6 +214,8 @@
         for effect in engine.flush(self.now()):
             if isinstance(effect, fx.Log):
                 self.log(effect.level, effect.event, effect.call, effect.fields)
+            elif isinstance(effect, fx.Dial) and self.settings.udp_peers:
+                engine.link_up(self.now(), effect.address, self._datagram_flow(split_address(effect.address)))
             elif isinstance(effect, fx.Dial):
                 if effect.address not in self.dials and effect.address not in engine.links:
                     self.dials[effect.address] = self.loop.create_task(self._keep(effect.address))
--- a/eiderstep/standin/callers.py
+++ b/eiderstep/standin/callers.py
@@ -85,7 +85,7 @@
         self.standing: dict[tuple[str, str], Try] = {}
         self.took: list[float] = []
         self.finals: dict[int, int] = {}
-        self.unanswered = self.late = self.unfinished = 0
+        self.unanswered: list[float] = []  # when their time was up
         self.quiet = False
         self.on_stand: Callable[[float], None] | None = None
 
@@ -141,7 +141,7 @@
 
     def _too_late(self, one: Try) -> None:
         if one.state == "asked" and not one.finals:
-            self.unanswered += 1
+            self.unanswered.append(one.sent + self.manners.patience)
             one.state = "over"
             self._cancel(one)
             self._redial(one.ask, 0.0)
--- a/eiderstep/standin/element.py
+++ b/eiderstep/standin/element.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from eiderstep.sip.message import Message, split_address
-from eiderstep.sip.parser import BadMessage, Parser
+from eiderstep.sip.parser import BadMessage, Parser, parse_datagram
 from eiderstep.sip.transaction import Answer, NewRequest, NoAnswer, Times, Transaction, Transactions
 
 SECOND = 1_000_000_000
@@ -32,6 +32,30 @@
         self.element.gone(self.flow)
 
 
+class Packets(asyncio.DatagramProtocol):
+    """The UDP socket of an element: each far address is a flow."""
+
+    def __init__(self, element: Element) -> None:
+        self.element = element
+        self.flows: dict[Any, int] = {}
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def flow(self, address: Any) -> int:
+        if address not in self.flows:
+            self.element.flows += 1
+            self.flows[address] = self.element.flows
+            self.element.packet_flows[self.element.flows] = address
+        return self.flows[address]
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        item = parse_datagram(data)
+        if item is not None:
+            self.element.data(self.flow(addr), [item])
+
+
 class Element:
     """Listens at one address, dials others, and runs transactions over both."""
 
@@ -41,6 +65,8 @@
         self.loop, self.name, self.rng = loop, name, rng
         self.transactions = Transactions(times)
         self.wires: dict[int, Wire] = {}
+        self.packets: Packets | None = None
+        self.packet_flows: dict[int, Any] = {}
         self.links: dict[str, int] = {}
         self.server: Any = None
         self.address = ""
@@ -66,6 +92,16 @@
         self.address = f"{name[0]}:{name[1]}"
         return self.address
 
+    async def listen_udp(self) -> str:
+        """A UDP socket, whose flows are unreliable; returns the address."""
+        host, port = split_address(self.address) if self.address else ("127.0.0.1", 0)
+        _, self.packets = await self.loop.create_datagram_endpoint(
+            lambda: Packets(self), local_addr=(host, port)
+        )
+        name = self.packets.transport.get_extra_info("sockname")
+        self.address = f"{name[0]}:{name[1]}"
+        return self.address
+
     def _accept(self) -> Wire:
         self.flows += 1
         return Wire(self, self.flows)
@@ -86,7 +122,7 @@
             if isinstance(item, BadMessage):
                 self.malformed.append(item.text)
                 continue
-            self.transactions.receive(self.now(), flow, item)
+            self.transactions.receive(self.now(), flow, item, flow not in self.packet_flows)
         self.pump()
 
     def gone(self, flow: int) -> None:
@@ -115,6 +151,8 @@
             wire = self.wires.get(flow)
             if wire is not None and not wire.transport.is_closing():
                 wire.transport.write(data)
+            elif flow in self.packet_flows and self.packets is not None:
+                self.packets.transport.sendto(data, self.packet_flows[flow])
         due = layer.next_due()
         if self.timer is not None:
             self.timer.cancel()
