--- a/eiderstep/server/process.py
+++ b/eiderstep/server/process.py
@@ -66,10 +66,11 @@
     assert server.engine is not None
     server.engine.verbose = verbose
     # Danger: a full collection among thousands of standing calls stops the loop for tenths of a second.
-    # What is over is freed by its count alone; the collector is for what slips through, rarely.
+    # What is over is freed by its count alone; the collector is for what slips through: small young
+    # collections, often, and full ones rarely.  Hurts where memory is short and something does slip through.
     gc.collect()
     gc.freeze()
-    gc.set_threshold(20_000, 20, 200)
+    gc.set_threshold(2_000, 10, 1_000)
     if early:
         server.stop()
     await server.stopped
