--- a/eiderstep/engine/legs.py
+++ b/eiderstep/engine/legs.py
@@ -256,9 +256,9 @@
         attempt = call.attempt
         if call.state is CallState.OVER and (attempt is None or attempt.state is AttemptState.OVER):
             if self.calls.get(call.name) is call:
-                call.tx.owner = call.attempt = (
-                    None  # no cycles: what is over is freed now, not by the collector
-                )
+                # No cycles: what is over is freed now, by its count, and not some day by the collector.
+                call.tx.owner = None
+                call.attempt = None
                 del self.calls[call.name]
                 self.merged.pop((call.invite.call_id, call.invite.from_tag, call.invite.cseq), None)
 
