--- a/eiderstep/engine/core.py
+++ b/eiderstep/engine/core.py
@@ -16,7 +16,7 @@
 from eiderstep.config.schema import ServerSettings
 from eiderstep.decide import Controller
 from eiderstep.engine import effects as fx
-from eiderstep.engine import mapping, offers
+from eiderstep.engine import mapping
 from eiderstep.engine.calls import Attempt, AttemptState, Call, CallState
 from eiderstep.engine.legs import OPEN
 from eiderstep.engine.requests import Requests
@@ -143,6 +143,10 @@
         effects, self.effects = self.effects, []
         return effects
 
+    def busy_circuits(self) -> int:
+        """Circuits that this end holds busy, over all groups."""
+        return sum(len(ledger.busy) for ledger in self.ledgers.values())
+
     def _tell_circuits(self) -> None:
         for number in sorted(self.dirty):
             office, ledger = self.current.get(number), self.ledgers[number]
@@ -213,9 +217,7 @@
                 told = attempt.state in OPEN
                 self._hang_up(now, attempt, fields.reason(fields.NORMAL))
                 if told:
-                    self._attempt_over(
-                        now, attempt, io.Outcome.CANCELLED, io.Cause.NONE, None, 0, release=False
-                    )
+                    self._attempt_over(now, attempt, io.Outcome.CANCELLED, io.Cause.NONE, None, 0)
             return
         outcome, cause, wait = mapping.outcome(message)
         was = attempt.state
@@ -351,7 +353,7 @@
         headers[self.reader.class_header] = [self.settings.classes[call.cls].name]
         headers[fields.PATIENCE] = [str(max(attempt.until - now, 0) // fields.MS)]
         if attempt.ledger is not None:
-            group = offers.group_name(self.settings.number, attempt.number)
+            group = fields.group_name(self.settings.number, attempt.number)
             headers["contact"] = [fields.trunk_contact(self.here, group, self.settings.context)]
             headers[fields.CIRCUITS] = [fields.write_circuits(attempt.circuits)]
         else:
@@ -433,8 +435,6 @@
     def _note(self, now: int, action: io.Note) -> None:
         self._log("warning", action.text)
 
-    # -- release -------------------------------------------------------------------------------------------
-
     def _drain_over(self, now: int) -> None:
         """The stop has waited long enough for the calls that still stand."""
         for call in list(self.calls.values()):
--- a/eiderstep/engine/legs.py
+++ b/eiderstep/engine/legs.py
@@ -164,7 +164,7 @@
 
     def _attempt_over(
         self, now: int, attempt: Attempt, outcome: io.Outcome, cause: io.Cause, message: Message | None,
-        wait: int, release: bool = True,
+        wait: int,
     ) -> None:  # fmt: skip
         call = attempt.call
         if call.local:
@@ -181,12 +181,11 @@
                 now - attempt.sent_at,
                 wait,
                 mapping.report(ledger, message),
-            )  # fmt: skip
+            )
         )
         if ledger is not None and attempt.number in self.told:
             self.told[attempt.number] = (ledger.free, ledger.size)
-        if release:
-            self._tidy(call)
+        self._tidy(call)
 
     @staticmethod
     def _name(leg: Call | Attempt) -> str:
--- a/eiderstep/engine/offers.py
+++ b/eiderstep/engine/offers.py
@@ -39,11 +39,6 @@
     hint: int
 
 
-def group_name(one: int, other: int) -> str:
-    """The name of the trunk group of two exchanges, the same at both ends."""
-    return f"{min(one, other)}-{max(one, other)}"
-
-
 class Reader:
     """Settings prepared for reading INVITEs."""
 
@@ -54,7 +49,7 @@
         self.class_header = settings.class_header.lower()
         self.routes = {r.prefix: r.exchange for r in settings.dial_plan}
         self.longest = max(len(r.prefix) for r in settings.dial_plan)
-        self.groups = {group_name(settings.number, p.number): p.number for p in settings.peers}
+        self.groups = {fields.group_name(settings.number, p.number): p.number for p in settings.peers}
 
     def destination(self, number: str) -> int | None:
         """The exchange of a number, by the longest prefix."""
--- a/eiderstep/engine/requests.py
+++ b/eiderstep/engine/requests.py
@@ -117,7 +117,7 @@
                 call.transit,
                 offer.redialled,
                 offer.was_cut,
-            )  # fmt: skip
+            )
         )
 
     def _trying(self, now: int, call: Call) -> None:
--- a/eiderstep/lab/script.py
+++ b/eiderstep/lab/script.py
@@ -10,7 +10,6 @@
 from eiderstep.config.load import ConfigError, load_day, locate, read
 from eiderstep.config.schema import (
     CallClass,
-    Cold,
     Count,
     Length,
     MaybeLength,
@@ -138,4 +137,4 @@
     return day
 
 
-__all__ = ["KINDS", "Cold", "Day", "Trouble", "load"]
+__all__ = ["KINDS", "Day", "Trouble", "load"]
--- a/eiderstep/lab/world.py
+++ b/eiderstep/lab/world.py
@@ -295,7 +295,7 @@
             else:
                 assert server.engine is not None
                 mine, counted = len(server.engine.calls), server.engine.counts
-                busy = sum(len(ledger.busy) for ledger in server.engine.ledgers.values())
+                busy = server.engine.busy_circuits()
             calls, circuits = calls + mine, circuits + busy
             for what, count in counted.items():
                 counts[what] = counts.get(what, 0) + count
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -52,7 +52,6 @@
         self.engine: Engine | None = None
         self.register: RegisterClient | None = None
         self.stopped = loop.create_future()
-        self.overdue = 0.0  # how late the last timer came (s), the loop's own lag
 
     def now(self) -> int:
         """Integer nanoseconds of the loop's clock; it never goes back, not by a rounding either."""
@@ -89,8 +88,8 @@
         if self.register is not None:
             self.register.stop()
         self.engine.stop(self.now())
-        busy = sum(len(ledger.busy) for ledger in self.engine.ledgers.values())
-        self.log("info", "stopping", "", {"calls": len(self.engine.calls), "circuits": busy})
+        held = {"calls": len(self.engine.calls), "circuits": self.engine.busy_circuits()}
+        self.log("info", "stopping", "", held)
         self.loop.call_later(self.settings.limits.drain / SECOND + LAST_WORDS, self.end)
         self._flush()
 
@@ -294,7 +293,6 @@
         if self.engine is not None:
             self.clock = max(self.clock, self.timer_at)  # loops round: a timer may come a shade early
             now = self.now()
-            self.overdue = (now - self.timer_at) / SECOND
             self.engine.due(now)
             self._flush()
 
--- a/eiderstep/sip/fields.py
+++ b/eiderstep/sip/fields.py
@@ -87,6 +87,11 @@
     return float(text)
 
 
+def group_name(one: int, other: int) -> str:
+    """The name of the trunk group of two exchanges, the same at both ends."""
+    return f"{min(one, other)}-{max(one, other)}"
+
+
 def trunk_contact(host: str, group: str, context: str) -> str:
     """Contact that names the originating trunk group (RFC 4904 section 5)."""
     return f"<sip:trunk;tgrp={group};trunk-context={context}@{host}>"
--- a/eiderstep/sip/message.py
+++ b/eiderstep/sip/message.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 VERSION = "SIP/2.0"
 COOKIE = "z9hG4bK"  # section 8.1.1.7: a branch that begins so is unique
 
@@ -202,12 +200,3 @@
     if not host or any(c.isspace() for c in uri):
         raise ValueError(f"{uri!r} names no host")
     return user if at else "", host, semi + params
-
-
-def header_lines(headers: Iterable[tuple[str, str]]) -> dict[str, list[str]]:
-    """Headers from pairs, by their long names in lower case."""
-    found: dict[str, list[str]] = {}
-    for name, value in headers:
-        key = name.lower()
-        found.setdefault(COMPACT.get(key, key), []).append(value)
-    return found
--- a/eiderstep/standin/callers.py
+++ b/eiderstep/standin/callers.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -88,7 +87,6 @@
         self.finals: dict[int, int] = {}
         self.unanswered: list[float] = []  # when their time was up
         self.quiet = False
-        self.on_stand: Callable[[float], None] | None = None
 
     async def connect(self) -> None:
         for _ in range(self.connections):
@@ -190,8 +188,6 @@
             return
         one.state = "standing"
         self.took.append(now - one.sent)
-        if self.on_stand is not None:
-            self.on_stand(now - one.sent)
         ask.earned = ask.cls.worth * (1.0 if now - ask.since <= ask.cls.aim else ask.cls.late_share)
         ask.outcome = "stands"
         self.later(self.rng.expovariate(1 / ask.cls.hold), lambda: self._hang_up(one))
--- a/eiderstep/standin/exchange.py
+++ b/eiderstep/standin/exchange.py
@@ -328,7 +328,7 @@
             if not self._send_on(onward, leg.invite):
                 self._refuse(leg, 503, fields.reason(fields.TURNED_BACK, "no circuit beyond", fields.OWN))
 
-    def _stand(self, leg: Leg, body: bytes = b"") -> None:
+    def _stand(self, leg: Leg) -> None:
         answer = response(leg.invite, 200, leg.tag)
         answer.set("contact", f"<sip:x{self.plant.number}@{self.address}>")
         leg.dialog = Dialog.of_server(leg.invite, answer, leg.tx.flow)
@@ -370,8 +370,8 @@
             "INVITE", like.uri, via=self.via(), sender=f"<sip:x@{self.address}>;tag={self.new_id()}",
             to=f"<{like.uri}>", call_id=self.new_id(), cseq=1,
         )  # fmt: skip
-        pair = sorted((self.plant.number, onward.neighbour))
-        invite.set("contact", fields.trunk_contact(self.address, f"{pair[0]}-{pair[1]}", self.plant.context))
+        group = fields.group_name(self.plant.number, onward.neighbour)
+        invite.set("contact", fields.trunk_contact(self.address, group, self.plant.context))
         invite.set(fields.CIRCUITS, fields.write_circuits(tuple(mine)))
         for name in (fields.CLASS, fields.PATIENCE, "session-id"):
             invite.set(name, like.get(name) or None)
@@ -558,7 +558,7 @@
         "NOTIFY", f"sip:{address}", via=teller.via(), to=f"<sip:trunks@{address}>",
         sender=f"<sip:{teller.name}@{teller.address}>;tag={teller.new_id()}", call_id=teller.new_id(), cseq=1,
     )  # fmt: skip
-    group = f"{min(pair)}-{max(pair)}"
+    group = fields.group_name(*pair)
     notify.set("contact", fields.trunk_contact(teller.address, group, context))
     notify.set("event", fields.CIRCUITS)
     notify.set(fields.CIRCUITS, ",".join(map(str, sorted(lost))))
--- a/tests/sip_rig.py
+++ b/tests/sip_rig.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from eiderstep import interface as io
 from eiderstep.config.schema import CallClass, Cold, Peer, Route, Rules, ServerSettings
 from eiderstep.engine.core import Engine
 from eiderstep.engine.effects import Effect
@@ -119,9 +118,6 @@
             if m.status >= 200 and m.call_id == invite.call_id and m.cseq_method == "INVITE"
         ]  # fmt: skip
 
-    def told(self) -> list[io.Event]:
-        return self.engine.events
-
 
 def answer(to: Message, status: int, **headers: str) -> Message:
     """A far end's response."""
