--- a/eiderstep/config/load.py
+++ b/eiderstep/config/load.py
@@ -19,8 +19,8 @@
 # Functions that a script may call beside Starlark's own.  The builders return plain dicts, so that a script
 # can compute with them; what they hold is checked once, at the end.
 BUILDERS = (
-    "call_class", "peer", "route", "cold", "rules", "register", "timers", "limits", "trouble", "exchange",
-    "fleet", "traffic", "callers",
+    "call_class", "peer", "route", "cold", "rules", "register", "registry", "tls", "lease", "timers",
+    "limits", "trouble", "exchange", "fleet", "traffic", "callers",
 )  # fmt: skip
 
 
@@ -212,7 +212,16 @@
 
 def load_settings(path: Path) -> ServerSettings:
     """Settings from a file."""
-    return load_text(read(path), str(path))
+    text = read(path)
+    settings = load_text(text, str(path))
+    tls = settings.registry.tls if settings.registry is not None else None
+    for name in ("ca", "cert", "key") if tls is not None else ():
+        file = getattr(tls, name)
+        if file and not Path(file).is_file():
+            field = f"registry.tls.{name}"
+            found = f"found {file!r}, no file; allowed: a PEM file"
+            raise ConfigError(str(path), locate(text, f"$.{field}"), field, found)
+    return settings
 
 
 def load_day(path: Path, kind: type[T]) -> T:
--- a/eiderstep/config/schema.py
+++ b/eiderstep/config/schema.py
@@ -92,6 +92,53 @@
     silence: Length = 10 * SECOND  # no line for so long: the connection is dead
 
 
+class Tls(Strict, frozen=True, kw_only=True):
+    """Whom we trust, and who we are; files in PEM."""
+
+    ca: Annotated[str, Meta(min_length=1, description="a file of CA certificates")]
+    cert: str = ""
+    key: str = ""
+    name: str = ""  # the name in the far end's certificate; the dialled host if empty
+
+
+class Lease(Strict, frozen=True, kw_only=True):
+    """The own call server's entry in the registry."""
+
+    app: Name
+    id: Name
+    renew: Annotated[int, Meta(ge=1, le=3600, description="1 to 3600 seconds")] = 30
+    duration: Annotated[int, Meta(ge=2, le=7200, description="2 to 7200 seconds")] = 90
+    vip: str = ""
+    metadata: dict[str, str] = {}
+
+
+class Registry(Strict, frozen=True, kw_only=True):
+    """A Eureka registry as the source of the list of exchanges."""
+
+    addresses: Annotated[list[Address], Meta(min_length=1, max_length=16, description="1 to 16 addresses")]
+    app: Name
+    path: Annotated[str, Meta(pattern=r"^(/[^\s?#]*)?$", description="a path from /, or empty")] = "/eureka"
+    ask: Annotated[str, Meta(pattern="^(all|app|vip)$", description="all, app or vip")] = "all"
+    vip: str = ""
+    form: Annotated[str, Meta(pattern="^(json|xml)$", description="json or xml")] = "json"
+    follow: Annotated[int, Meta(ge=1, le=4, description="1 to 4")] = 2  # addresses asked, each by itself
+    poll: Length = 5 * SECOND
+    full_every: MaybeLength = 300 * SECOND  # the whole list so often, hash or no hash; 0: never for its age
+    dial: Length = SECOND
+    silence: Length = 2 * SECOND  # no byte of an answer for so long
+    whole: Length = 10 * SECOND  # an answer takes so long at most
+    number_key: Name = "exchange"
+    district_key: Name = "district"
+    started_key: Name = "started"
+    loss_share: Share = 0.5
+    loss_least: Annotated[int, Meta(ge=0, le=1000, description="0 to 1000")] = 2
+    hold: Length = 90 * SECOND
+    answer: Annotated[int, Meta(ge=4096, le=2**30, description="4096 to 2**30 bytes")] = 64 << 20
+    instances: Count = 100_000
+    tls: Tls | None = None
+    lease: Lease | None = None
+
+
 class Timers(Strict, frozen=True, kw_only=True):
     """The base times of RFC 3261 section 17.1.1.1, and the grain of all timers."""
 
@@ -136,6 +183,11 @@
     ordinal: Number = 0
     rules: Rules = Rules()
     register: Register | None = None
+    registry: Registry | None = None
+    list_from: Annotated[str, Meta(pattern="^(register|registry)$", description="register or registry")] = (
+        "register"  # where both are given: the main one; the other is its fallback
+    )
+    fallback_after: Length = 5 * SECOND  # how long the main one may fail before the other is believed
     timers: Timers = Timers()
     limits: Limits = Limits()
     seed: Annotated[int, Meta(ge=0, le=2**62, description="0 to 2**62")] = 0
@@ -194,6 +246,20 @@
         prefixes.add(route.prefix)
     if settings.ordinal >= settings.controllers:
         return "$.ordinal", f"found {settings.ordinal}; allowed: below controllers, {settings.controllers}"
+    registry = settings.registry
+    if registry is not None:
+        if len(set(registry.addresses)) < len(registry.addresses):
+            return "$.registry.addresses", "found an address twice; allowed: each once"
+        if registry.ask == "vip" and not registry.vip:
+            return "$.registry.vip", "found ''; allowed: the vip address to ask for, as ask is 'vip'"
+        if registry.silence > registry.whole:
+            found = f"found {registry.silence} ns"
+            return "$.registry.silence", f"{found}; allowed: up to whole, {registry.whole}"
+        if registry.tls is not None and bool(registry.tls.cert) != bool(registry.tls.key):
+            return "$.registry.tls", "found one of cert and key; allowed: both or neither"
+        if registry.lease is not None and registry.lease.duration <= registry.lease.renew:
+            found = f"found {registry.lease.duration}"
+            return "$.registry.lease.duration", f"{found}; allowed: above renew, {registry.lease.renew}"
     shortest = min(c.give_up for c in settings.classes)
     if settings.rules.answer_margin >= shortest:
         return (
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -12,6 +12,9 @@
 from eiderstep.config.schema import ServerSettings
 from eiderstep.engine import effects as fx
 from eiderstep.engine.core import Engine
+from eiderstep.registry.choice import Choice
+from eiderstep.registry.client import RegistryClient
+from eiderstep.registry.registrant import Registrant
 from eiderstep.server.register import RegisterClient
 from eiderstep.server.wire import DatagramWire, StreamWire, Trace
 from eiderstep.sip.message import Message, split_address
@@ -33,8 +36,11 @@
         settings: ServerSettings,
         log: Logger,
         trace: Trace | None = None,
+        epoch: Callable[[], int] | None = None,
     ) -> None:
+        """`epoch`: the wall clock in ms, for what others are told of us; by default the loop's."""
         self.loop, self.settings, self.log, self.trace = loop, settings, log, trace
+        self.epoch = epoch or (lambda: int(loop.time() * 1000))
         limits = settings.limits
         self.limits = Limits(limits.line, limits.head, limits.headers, limits.body)
         self.rng = Random(settings.seed ^ 0xD1A1)
@@ -51,6 +57,12 @@
         self.address = ""
         self.engine: Engine | None = None
         self.register: RegisterClient | None = None
+        self.registry: RegistryClient | None = None
+        self.registrant: Registrant | None = None
+        both = settings.register is not None and settings.registry is not None
+        self.choice = Choice(settings.list_from, settings.fallback_after) if both else None
+        self.choice_timer: asyncio.TimerHandle | None = None
+        self.ended = False
         self.stopped = loop.create_future()
 
     def now(self) -> int:
@@ -74,19 +86,16 @@
         if self.dials:
             # Calls that come before the first dial is over would find every exchange out of reach.
             await asyncio.wait(list(self.dials.values()), timeout=self.settings.limits.dial / SECOND)
-        if self.settings.register is not None:
-            self.register = RegisterClient(
-                self.loop, self.settings.register, self._news, self._register_note, self.rng, self.trace
-            )
-            self.register.start()
+        self._follow()
         self._sweep()
         self.log("info", "serving", "", {"address": self.address, "exchange": self.settings.number})
 
     def stop(self) -> None:
         """An orderly stop (SIGTERM); `stopped` is done when all is answered and released."""
         assert self.engine is not None
-        if self.register is not None:
-            self.register.stop()
+        self._unfollow()
+        if self.registrant is not None:
+            self.registrant.leave()
         self.engine.stop(self.now())
         held = {"calls": len(self.engine.calls), "circuits": self.engine.busy_circuits()}
         self.log("info", "stopping", "", held)
@@ -95,18 +104,32 @@
 
     def kill(self) -> None:
         """Gone at once, as a killed process is: nothing is answered."""
-        if self.register is not None:
-            self.register.stop()
+        self._unfollow()
+        if self.registrant is not None:
+            self.registrant.stop()
         self.engine = None
         if self.timer is not None:
             self.timer.cancel()
         self._shut(abort=True)
 
     def end(self) -> None:
-        """The stop is over: all is shut."""
+        """The stop is over: all is shut, and our entry in the registry goes."""
+        if self.ended:
+            return
+        self.ended = True
+        self._shut(abort=False)
+        if self.registrant is None or self.registrant.over.done():
+            self._said_last()
+            return
+        self.registrant.cancel()
+        self.registrant.over.add_done_callback(lambda _: self._said_last())
+        self.loop.call_later(LAST_WORDS, self._said_last)  # a registry that is away holds nobody up
+
+    def _said_last(self) -> None:
         if not self.stopped.done():
+            if self.registrant is not None:
+                self.registrant.stop()
             self.stopped.set_result(None)
-            self._shut(abort=False)
             self.log("info", "stopped", "", {"counts": self.engine.counts if self.engine else {}})
 
     def _shut(self, abort: bool) -> None:
@@ -248,6 +271,8 @@
             elif isinstance(effect, fx.AskRegister):
                 if self.register is not None:
                     self.register.ask()
+                if self.registry is not None:
+                    self.registry.ask()
             elif isinstance(effect, fx.Finished):
                 self.loop.call_later(0, self.end)
         self._write(engine)
@@ -296,12 +321,73 @@
             self.engine.due(now)
             self._flush()
 
-    # -- the register --------------------------------------------------------------------------------------
+    # -- the list of exchanges -----------------------------------------------------------------------------
 
-    def _news(self, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
-        if self.engine is not None:
-            self.engine.news(self.now(), kind, entries)
+    def _follow(self) -> None:
+        """Follow the register, the registry, or both; and keep our own entry."""
+        settings = self.settings
+        if settings.register is not None:
+            self.register = RegisterClient(
+                self.loop, settings.register, partial(self._news, "register"), self._list_note, self.rng,
+                self.trace,
+            )  # fmt: skip
+            self.register.start()
+        if settings.registry is not None:
+            named = tuple(
+                io.OfficeEntry(p.address, p.number, io.OfficeState.UP, 0, p.zone) for p in settings.peers
+            )
+            self.registry = RegistryClient(
+                self.loop, settings.registry, partial(self._news, "registry"), self._list_note,
+                Random(settings.seed ^ 0xE0EA), named, self.trace,
+            )  # fmt: skip
+            self.registry.start()
+            if settings.registry.lease is not None:
+                self.registrant = Registrant(
+                    self.loop, settings.registry, self.address, settings.number, self._list_note,
+                    Random(settings.seed ^ 0x1EA5E), self.epoch,
+                )  # fmt: skip
+                self.registrant.start()
+
+    def _unfollow(self) -> None:
+        if self.register is not None:
+            self.register.stop()
+        if self.registry is not None:
+            self.registry.stop()
+        if self.choice_timer is not None:
+            self.choice_timer.cancel()
+
+    def _news(self, source: str, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
+        if self.choice is None:
+            self._list_news([(kind, entries)])
+            return
+        was = self.choice.on_fallback
+        self._list_news(self.choice.heard(self.now(), source, kind, entries))
+        self._chosen(was)
+
+    def _chosen(self, was: bool) -> None:
+        """Log a change of the list in force, and wake when the fallback is due."""
+        choice = self.choice
+        assert choice is not None
+        if choice.on_fallback != was:
+            self._list_note("list of exchanges changes", {"fallback": choice.on_fallback})
+        if self.choice_timer is not None:
+            self.choice_timer.cancel()
+            self.choice_timer = None
+        due = choice.next_due()
+        if due is not None:
+            self.choice_timer = self.loop.call_at(due / SECOND + 0.001, self._choice_due)
+
+    def _choice_due(self) -> None:
+        assert self.choice is not None
+        was = self.choice.on_fallback
+        self._list_news(self.choice.due(self.now()))
+        self._chosen(was)
+
+    def _list_news(self, news: list[tuple[io.ListKind, tuple[io.OfficeEntry, ...]]]) -> None:
+        if self.engine is not None and news:
+            for kind, entries in news:
+                self.engine.news(self.now(), kind, entries)
             self._flush()
 
-    def _register_note(self, event: str, fields: dict[str, Any]) -> None:
+    def _list_note(self, event: str, fields: dict[str, Any]) -> None:
         self.log("warning", event, "", fields)
--- a/eiderstep/server/process.py
+++ b/eiderstep/server/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import signal
+import time
 from pathlib import Path
 
 import msgspec
@@ -47,7 +48,7 @@
 
 async def _serve(settings: ServerSettings, log: Logger, trace: Trace | None, verbose: bool) -> None:
     loop = asyncio.get_running_loop()
-    server = CallServer(loop, settings, log, trace)
+    server = CallServer(loop, settings, log, trace, lambda: int(time.time() * 1000))
     early = False
 
     def asked() -> None:
