--- a/eiderstep/audit/rules.py
+++ b/eiderstep/audit/rules.py
@@ -8,7 +8,7 @@
 2. No set-up of a call goes out while another is out: until its final response, its release, the break of its
    connection, or one release wait after its CANCEL.
 3. No set-up goes to an exchange later than the grace after the register told this server that it drains or
-   is gone.
+   is gone; a registry, which may lie, counts for what the day says was true.
 4. All set-ups of servers that were told of its start, in any window, stay within what a cold exchange takes.
 5. After a set-up that was cancelled, reset or timed out, the next of that call waits for the release.
 """
@@ -22,6 +22,8 @@
 import msgspec
 
 from eiderstep.audit.capture import Capture, Record
+from eiderstep.audit.eureka import Heard
+from eiderstep.audit.eureka import Stream as EurekaStream
 from eiderstep.sip.fields import read_patience
 from eiderstep.sip.message import Message
 from eiderstep.sip.parser import BadMessage, Parser, parse_datagram
@@ -38,6 +40,15 @@
     capacity: float
 
 
+@dataclass(frozen=True)
+class Away:
+    """The truth about one exchange that took no new work: by its addresses, from when and until when (ns)."""
+
+    offices: frozenset[str]
+    since: int
+    until: int
+
+
 @dataclass(frozen=True)
 class Facts:
     """The figures of the rules, and what only the day knows.  Times in ns."""
@@ -51,6 +62,7 @@
     cold_window: int = 2 * SECOND
     cold_slack: int = 3  # set-ups, for chance
     starts: tuple[ColdStart, ...] = ()
+    away: tuple[Away, ...] = ()  # judged where a registry tells the list
     stalls: tuple[tuple[int, int], ...] = ()  # from, to (ns): no server ran, nothing could be said
 
 
@@ -78,6 +90,9 @@
     set_ups: int = 0
     stood: int = 0
     finals: dict[int, int] = field(default_factory=dict)
+    # Each time that a server heard from a registry of one that is away, and how long after it the last
+    # set-up went there (ms), 0 for none.
+    departures: dict[tuple[str, str, int], float] = field(default_factory=dict)
 
     @property
     def kept(self) -> bool:
@@ -122,6 +137,12 @@
         self.branches: dict[tuple[str, str], _SetUp] = {}  # node, branch
         self.dialogs: dict[tuple[str, str], _SetUp] = {}  # node, Call-ID
         self.on_label: dict[tuple[str, str], list[_SetUp]] = {}
+        self.eurekas: dict[tuple[str, str], EurekaStream] = {}
+        self.starts_told: dict[tuple[str, str], str] = {}  # node, office: the start that a registry tells
+        self.away: dict[str, list[Away]] = {}
+        for away in facts.away:
+            for office in away.offices:
+                self.away.setdefault(office, []).append(away)
         self.closed_to: dict[tuple[str, str], int] = {}  # node, office: since when it is no longer up
         self.told_start: dict[tuple[str, str], int] = {}  # node, office: when it was told of the latest start
         self.cold_sends: dict[int, deque[int]] = {}
@@ -141,6 +162,11 @@
                 stream = self.streams[record.node] = _RegisterStream()
             for event in stream.feed(record.data.encode("latin-1")):
                 self.told(record.time, record.node, event)
+        elif record.label.startswith("registry "):
+            key = (record.node, record.peer)
+            eureka = self.eurekas.get(key) or self.eurekas.setdefault(key, EurekaStream())
+            for heard in eureka.record(record.way, record.data.encode("latin-1")):
+                self.registry_told(record.time, record.node, heard)
         elif record.way == "down":
             self.down(record)
         elif record.way in ("in", "out"):
@@ -308,8 +334,31 @@
                 self.closed_to.setdefault((node, office), time)
         self.seen_offices.update((node, office) for office in named)
 
+    def registry_told(self, time: int, node: str, heard: Heard) -> None:
+        """One answer of a registry.  Its word that an exchange is not up counts while that is true."""
+        for office, row in heard.rows.items():
+            self.seen_offices.add((node, office))
+            if row.up and not row.left:
+                before = self.starts_told.get((node, office))
+                if row.started != before:
+                    self.starts_told[node, office] = row.started
+                    if before is not None:
+                        self.told_start[node, office] = time
+                if not any(a.since <= time < a.until for a in self.away.get(office, ())):
+                    self.closed_to.pop((node, office), None)
+        for office, times in self.away.items():
+            if (node, office) not in self.seen_offices or (node, office) in self.closed_to:
+                continue
+            row_or_none = heard.rows.get(office)
+            closed = heard.whole if row_or_none is None else row_or_none.left or not row_or_none.up
+            if closed and any(a.since <= time < a.until for a in times):
+                self.closed_to[node, office] = time
+                self.verdict.departures[node, office, time] = 0.0
+
     def drained(self, now: int, record: Record, session: str) -> None:
         since = self.closed_to.get((record.node, record.peer))
+        if since is not None and (record.node, record.peer, since) in self.verdict.departures:
+            self.verdict.departures[record.node, record.peer, since] = (now - since) / 1e6
         if since is not None and now > since + self.facts.drain_grace:
             late = (now - since) / 1e6
             self.breach(
--- a/eiderstep/cli/day.py
+++ b/eiderstep/cli/day.py
@@ -62,6 +62,12 @@
         f"  calls taken {shown['calls']}, answered {shown['answered']}, left {shown['left_calls']}, "
         f"circuits left busy {shown['left_circuits']}",
     ]
+    if shown["departures"]["heard"]:
+        late = shown["departures"]
+        rows.append(
+            f"  departures heard from the registry {late['heard']}; the last set-up there after it: "
+            f"p99 {late['p99_ms']} ms, worst {late['worst_ms']} ms"
+        )
     if shown["circuit_faults"]:
         rows.append(f"  circuits that the two ends saw differently: {len(shown['circuit_faults'])}")
     if shown["fell"]:
--- a/eiderstep/lab/script.py
+++ b/eiderstep/lab/script.py
@@ -19,9 +19,11 @@
     Share,
     Strict,
 )
+from eiderstep.standin.eureka_wire import LIES
 
 MS, SECOND = 1_000_000, 1_000_000_000
 Positive = Annotated[float, Meta(gt=0, le=100_000, description="above 0, at most 100000")]
+Source = Annotated[str, Meta(pattern="^(register|registry|both)$", description="register, registry, both")]
 Part = Annotated[float, Meta(ge=0, le=1, description="0 to 1")]
 
 KINDS = {
@@ -39,6 +41,7 @@
     "answers_lost": "`share` of the final answers of `exchanges` is never sent",
     "register_lag": "the register runs `factor` seconds late",
     "register_silent": "the register says nothing",
+    "registry_lie": "the registry's `peers` (all if none are named) tell the `lie`, some of `exchanges`",
     "stale": "the register names `exchanges` as up that are gone",
     "stall": "the call server's own processor stops",
     "callers_vanish": "`share` of the callers' connections break",
@@ -63,6 +66,11 @@
     can_fall: bool = True
     delay: MaybeLength = 2 * MS  # one way between districts
     register_lag: MaybeLength = SECOND
+    list_from: Source = "register"  # both: the registry is the main one
+    poll: Length = SECOND  # of the registry
+    form: Annotated[str, Meta(pattern="^(json|xml)$", description="json or xml")] = "json"
+    hold: Length = 90 * SECOND
+    skew: Annotated[float, Meta(ge=-3600, le=3600, description="-3600 to 3600")] = 0.0  # clocks ahead, s
 
 
 class Traffic(Strict, frozen=True, kw_only=True):
@@ -96,6 +104,8 @@
     share: Part = 0.5
     factor: Positive = 2.0
     gap: MaybeLength = SECOND
+    lie: Annotated[str, Meta(pattern=f"^({'|'.join(LIES)}|)$", description=", ".join(LIES))] = ""
+    peers: list[Annotated[int, Meta(ge=0, le=1, description="0 or 1")]] = []
 
 
 class Day(Strict, frozen=True, kw_only=True):
@@ -132,6 +142,11 @@
                 raise wrong(
                     f"troubles[{i}].exchanges", f"found {number}; allowed: 1 to {day.fleet.count - 1}"
                 )
+        if (trouble.kind == "registry_lie") != bool(trouble.lie):
+            said = f"found {trouble.lie!r} with kind {trouble.kind}; allowed: a lie with registry_lie alone"
+            raise wrong(f"troubles[{i}].lie", said)
+        if trouble.lie and day.fleet.list_from == "register":
+            raise wrong("fleet.list_from", "found 'register' with a registry_lie; allowed: registry, both")
         if trouble.at > day.length:
             raise wrong(f"troubles[{i}].at", f"found {trouble.at} ns; allowed: up to the day's {day.length}")
     return day
--- a/eiderstep/registry/client.py
+++ b/eiderstep/registry/client.py
@@ -98,11 +98,13 @@
         client.addresses.good(name)
         client.polls[what] += 1
         client.bytes[what] += answer.bytes
+        first = self.pace.mismatched == 0  # said once, not at each poll that goes the same way
         if applied is Applied.STALE:
-            client.note("registry answers with what is older", {"registry": name})
+            if first:
+                client.note("registry answers with what is older", {"registry": name})
         else:
             client.heard(name, picture)
-        if applied is Applied.MISMATCH and self.table.listed:
+        if applied is Applied.MISMATCH and first:
             client.note("registry's hash does not fit", {"registry": name, "asked": what.value})
         return self.pace.taken(now, name, what, fits=applied is Applied.TAKEN)
 
--- a/eiderstep/registry/view.py
+++ b/eiderstep/registry/view.py
@@ -81,6 +81,11 @@
     born: int
     instance: Instance
 
+    @property
+    def word(self) -> tuple[int, int]:
+        """Of two words of one instance the greater is the later."""
+        return self.instance.dirty, self.born
+
 
 def processor(found: Instance, policy: Policy) -> Processor | str:
     """An instance's processor, or what is wrong with it."""
@@ -240,15 +245,17 @@
     def _says(self, now: int, name: str, one: Processor, picture: Picture) -> None:
         life = self.lives.get(one.id)
         found = one.instance
-        if life is None or (one.born, found.dirty) > (life.latest.born, life.latest.instance.dirty):
+        if life is None or one.word > life.latest.word:
             if life is None or one.born != life.latest.born:
-                life = self.lives[one.id] = Life(one, self._started(now, one, picture.clock, life), now)
+                was_up = life is not None and life.was_up
+                started = self._started(now, one, picture.clock, life)
+                life = self.lives[one.id] = Life(one, started, now, was_up=was_up)
                 self._bound(now)
             life.latest = one
             life.closed.clear()
             life.proof.clear()
             life.lost_at = 0
-        elif (one.born, found.dirty) < (life.latest.born, life.latest.instance.dirty):
+        elif one.word < life.latest.word:
             self._count("stale words")
             return
         life.seen = now
@@ -296,21 +303,20 @@
         plain: list[Processor] = []
         for one in left:
             life = self.lives.get(one.id)
-            if life is None or (one.born, one.instance.dirty) < (
-                life.latest.born,
-                life.latest.instance.dirty,
-            ):
+            if life is None or one.word < life.latest.word:
                 continue  # it drops an earlier life
             (sudden if life.up else plain).append(one)
         for one in plain:
             self.lives[one.id].closed[name] = None
         if not sudden:
             return
-        up = sum(life.up for life in self.lives.values())
+        # Counted by address: an exchange that has come back under a new id is no loss any more.
+        up = sum(entry.state is OfficeState.UP for entry in self.told.values())
         recent = sum(
             bool(life.lost_at) and life.gone and now - life.lost_at <= LOSS_WINDOW
+            and life.latest.office not in self.told
             for life in self.lives.values()
-        )
+        )  # fmt: skip
         losing = len(sudden) + recent
         most = losing > self.policy.loss_least and losing > self.policy.loss_share * (up + recent)
         if source.listed and not most:
--- a/eiderstep/standin/register.py
+++ b/eiderstep/standin/register.py
@@ -103,6 +103,13 @@
                     client.chunk(b": still here\n\n")
             self.loop.call_later(self.beat, self._beat)
 
+    def preset(self, entry: Entry) -> None:
+        """One that has long been listed."""
+        self.entries[entry.office] = entry
+
+    def died(self, number: int) -> None:
+        """An exchange has died without a word: nothing here notices."""
+
     def change(self, entry: Entry) -> None:
         """News of one exchange, which followers hear after the lag."""
 
