--- a/eiderstep/cli/__init__.py
+++ b/eiderstep/cli/__init__.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from eiderstep.cli import bench, check, day, serve
+from eiderstep.cli import bench, check, day, registry, serve
 from eiderstep.config.load import ConfigError
 
 app = typer.Typer(
@@ -16,6 +16,7 @@
 app.command("check")(check.check)
 app.command("day")(day.day)
 app.command("bench")(bench.bench)
+app.add_typer(registry.app, name="registry")
 
 
 def main() -> None:
--- a/eiderstep/registry/decode.py
+++ b/eiderstep/registry/decode.py
@@ -1,31 +1,35 @@
 """Answers of the registry read as they arrive, JSON or XML, one instance at a time.
 
-What is held is one instance and the listing: instances of other apps leave only their status.  The parsers
-are ijson (over yajl) and expat; neither sees a byte of what a bound forbids.
+What is held is one instance and the listing: instances of other apps leave only their status.
 """
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Any, Protocol
 from xml.parsers import expat
 
-import ijson
+import msgspec
 
-from eiderstep.registry.model import Instance, Listing, instance, whole
+from eiderstep.registry.model import (
+    TEXT_LIMIT,
+    Instance,
+    Listing,
+    action_of,
+    instance,
+    status_of,
+    whole,
+)
 
 DEPTH = 16  # of nesting; an instance of the API has 5
-SCALARS = ("string", "number", "boolean", "null")
-# Eureka's two JSON codecs differ in whether a list of one is a list.
-BASES = frozenset(
-    f"{root}{apps}.instance{one}"
-    for root, apps in (
-        ("applications.", "application.item"),
-        ("applications.", "application"),
-        ("", "application"),
-    )
-    for one in ("", ".item")
-) | {"instance"}  # fmt: skip
+ROW = 1 << 16  # bytes of one instance
+SKELETON = 1 << 22  # bytes of an answer without its instances
+# To the next bracket that is not within a string; possessive, so that a piece without one costs one pass.
+TO_BRACKET = re.compile(rb'[^{}\[\]"]*+(?:"[^"\\]*+(?:\\.[^"\\]*+)*+"[^{}\[\]"]*+)*+[{}\[\]]', re.DOTALL)
+NAMED_INSTANCE = re.compile(rb'"instance"\s*:\s*.$', re.DOTALL)
+OPENING = frozenset(b"{[")
+ROOTS = ("applications", "application", "instance")
 
 
 class Unfit(ValueError):
@@ -57,7 +61,6 @@
         self.listing = Listing()
         self.bytes = 0
         self.row: dict[str, object] = {}
-        self.whole = False
 
     def count(self, data: bytes) -> None:
         self.bytes += len(data)
@@ -77,9 +80,20 @@
         if found is None:
             self.listing.skipped += 1
             return
+        self.room()
+        self.keep(found)
+
+    def room(self) -> None:
         if len(self.listing.instances) + len(self.listing.others) >= self.bounds.instances:
             raise Unfit(f"over {self.bounds.instances} instances")
-        self.keep(found)
+
+    def other(self, app: str, name: object, status: object, action: object) -> None:
+        """An instance of another app: the hash needs its status, nobody its rest."""
+        if not isinstance(name, str) or not name or len(name) > TEXT_LIMIT or len(app) > TEXT_LIMIT:
+            self.listing.skipped += 1
+            return
+        self.room()
+        self.listing.others[app, name] = (status_of(status), action_of(action))
 
     def keep(self, found: Instance) -> None:
         listing = self.listing
@@ -100,71 +114,129 @@
             self.listing.hashcode = str(value) if len(str(value)) <= self.bounds.text else None
 
 
+class _Row(msgspec.Struct):
+    """What is read of an instance's JSON; the rest is passed over by the decoder."""
+
+    instanceId: Any = None
+    hostName: Any = None
+    app: Any = None
+    ipAddr: Any = None
+    status: Any = None
+    port: Any = None
+    securePort: Any = None
+    leaseInfo: Any = None
+    metadata: Any = None
+    lastDirtyTimestamp: Any = None
+    lastUpdatedTimestamp: Any = None
+    actionType: Any = None
+
+
 class JsonReader:
-    """The JSON form, as `ijson` events."""
+    """The JSON form: cut into instances by its brackets, each decoded by msgspec.
+
+    What remains without them, `{"applications":{...,"application":[{"name":"A","instance":[0,0]}]}}`, is
+    decoded at the end: it has the hash, and shows whether the answer was whole and the API's.  An event
+    parser (ijson over yajl) does the same at several times the CPU, for which calls beside it have to wait.
+    Eureka's two JSON codecs differ in whether a list of one is a list: both are read.
+    """
 
     def __init__(self, app: str, bounds: Bounds | None = None) -> None:
         self.into = _Collector(app, bounds or Bounds())
-        self.events: Any = ijson.sendable_list()
-        self.parser = ijson.parse_coro(self.events, use_float=True)
-        self.base = ""  # the prefix of the instance being read
-        self.depth = 0
+        self.rest = b""
+        self.at = 0  # in `rest`: what is before has been looked at
+        self.start = 0  # in `rest`: the instance being read
+        self.inside = 0  # brackets open within it, 0 outside
+        self.depth = self.list_depth = 0  # brackets open outside; those of a list of instances
+        self.skeleton: list[bytes] = []
+        self.size = 0
 
     def feed(self, data: bytes) -> None:
         """Raises Unfit."""
-        if not data:
-            return  # to the parser that would be the end; unpacking can yield nothing yet
         self.into.count(data)
+        if not self.skeleton and not self.rest and data.strip() and data.lstrip()[:1] not in (b"{", b"["):
+            raise Unfit(f"not JSON: it begins with {data.lstrip()[:12]!r}")
+        buffer, at, to_bracket = self.rest + data, self.at, TO_BRACKET.match
+        while found := to_bracket(buffer, at):
+            end = found.end()
+            opens = buffer[end - 1] in OPENING
+            if not self.inside:
+                self._outside(buffer, at, end, opens)
+            elif opens:
+                self.inside += 1
+            else:
+                self.inside -= 1
+                if not self.inside:
+                    self._instance(buffer[self.start : end])
+            at = end
+            if self.inside + self.depth > DEPTH:
+                raise Unfit(f"nested over {DEPTH} deep")
+        cut = self.start if self.inside else at
+        self.rest, self.at, self.start = buffer[cut:], at - cut, 0
+        if len(self.rest) > ROW:
+            raise Unfit(f"an instance, or a value, of over {ROW} bytes")
+
+    def _outside(self, buffer: bytes, at: int, end: int, opens: bool) -> None:
+        piece = buffer[at:end]
+        named = opens and NAMED_INSTANCE.search(piece) is not None
+        if opens and piece.endswith(b"{") and (named or (self.list_depth and self.depth == self.list_depth)):
+            self.inside, self.start = 1, end - 1
+            piece = piece[:-1] + b"0"
+        elif opens:
+            self.depth += 1
+            if named:
+                self.list_depth = self.depth
+        else:
+            if self.depth == self.list_depth:
+                self.list_depth = 0
+            self.depth -= 1
+        self.skeleton.append(piece)
+        self.size += len(piece)
+        if self.size > SKELETON:
+            raise Unfit(f"over {SKELETON} bytes beside the instances")
+
+    def _instance(self, data: bytes) -> None:
         try:
-            self.parser.send(data)
-        except (ijson.JSONError, UnicodeDecodeError) as problem:
+            told = DECODE_ROW(data)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
             raise Unfit(f"not JSON: {_first(problem)}") from None
-        self._take()
-
-    def _take(self) -> None:
         into = self.into
-        base = self.base
-        for prefix, event, value in self.events:
-            if event in SCALARS:
-                if base:
-                    into.set(prefix[len(base) + 1 :], value)
-                elif prefix in ("applications.versions__delta", "applications.apps__hashcode"):
-                    into.head(prefix[len("applications.") :], value)
-                into.whole = into.whole or not self.depth  # a bare value: whole, and of no use
-            elif event in ("start_map", "start_array"):
-                self.depth += 1
-                if self.depth > DEPTH:
-                    raise Unfit(f"nested over {DEPTH} deep")
-                if not base and event == "start_map" and prefix in BASES:
-                    base = prefix
-            elif event in ("end_map", "end_array"):
-                self.depth -= 1
-                if event == "end_map" and prefix == base and base:
-                    into.add()
-                    base = ""
-                into.whole = self.depth == 0
-            elif self.depth == 1 and value not in ("applications", "application", "instance"):
-                raise Unfit(f"JSON, but {str(value)[:40]!r} is nothing that the API answers")
-        self.base = base
-        del self.events[:]
+        if isinstance(told.app, str) and told.app.upper() != into.app:
+            into.other(told.app.upper(), told.instanceId or told.hostName, told.status, told.actionType)
+            return
+        for name in ROW_NAMES:
+            value = getattr(told, name)
+            if isinstance(value, dict):
+                for key, inner in value.items():
+                    into.set(f"{name}.{key}", inner)
+            elif value is not None:
+                into.set(name, value)
+        into.add()
 
     def finish(self) -> Listing:
         """Raises Unfit for half an answer."""
-        try:
-            self.parser.close()
-        except ijson.JSONError as problem:
-            raise Unfit(f"half an answer: {_first(problem)}") from None
-        self._take()
-        if not self.into.whole:
+        if self.inside or self.depth:
             raise Unfit("half an answer")
+        try:
+            told = msgspec.json.decode(b"".join(self.skeleton) + self.rest)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
+            what = "half an answer" if "truncated" in str(problem) else "not JSON"
+            raise Unfit(f"{what}: {_first(problem)}") from None
+        if not isinstance(told, dict) or not any(root in told for root in ROOTS):
+            raise Unfit("JSON, but nothing that the API answers")
+        head = told.get("applications")
+        for name in ("versions__delta", "apps__hashcode"):
+            if isinstance(head, dict) and isinstance(head.get(name), str | int):
+                self.into.head(name, head[name])
         return self.into.listing
 
 
+ROW_NAMES = _Row.__struct_fields__
+DECODE_ROW = msgspec.json.Decoder(_Row).decode
+
+
 class XmlReader:
     """The XML form, by expat.  A document type is refused: entities could grow without bound."""
 
-    ROOTS = ("applications", "application", "instance")
-
     def __init__(self, app: str, bounds: Bounds | None = None) -> None:
         self.into = _Collector(app, bounds or Bounds())
         self.path: list[str] = []
@@ -191,7 +263,7 @@
             raise Unfit(f"not XML: {problem}") from None
 
     def _start(self, name: str, attributes: dict[str, str]) -> None:
-        if not self.path and name not in self.ROOTS:
+        if not self.path and name not in ROOTS:
             raise Unfit(f"XML, but <{name[:40]}> is nothing that the API answers")
         self.path.append(name)
         if len(self.path) > DEPTH:
--- a/eiderstep/registry/http.py
+++ b/eiderstep/registry/http.py
@@ -10,6 +10,7 @@
 import asyncio
 import ssl
 import zlib
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -19,7 +20,7 @@
 from eiderstep.config.schema import Tls
 
 SECOND = 1_000_000_000
-PIECE = 1 << 16  # bytes unpacked at a time
+PIECE = 1 << 15  # bytes read at a time, once unpacked
 HEADERS = 64
 Trace = Callable[[int, str, str, str, bytes], None]
 
@@ -74,8 +75,9 @@
         self.answer = Answer()
         self.open_sink: Callable[[int, dict[str, str]], Any] | None = None
         self.unpack: Any = None
-        self.lost = False
+        self.lost = self.whole = False
         self.heard_at = 0.0
+        self.pieces: deque[bytes] = deque()  # of the body, as they came, not read yet
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
@@ -89,6 +91,8 @@
     def send(self, data: bytes, open_sink: Callable[[int, dict[str, str]], Any]) -> asyncio.Future[Answer]:
         self.asked = self.link.loop.create_future()
         self.answer, self.open_sink, self.unpack = Answer(), open_sink, None
+        self.whole = False
+        self.pieces.clear()
         self.parser = httptools.HttpResponseParser(self)
         self.heard_at = self.link.loop.time()
         self._trace("out", data)
@@ -125,24 +129,57 @@
             raise ValueError(f"Content-Encoding {packed[:40]}; allowed: gzip, identity")
 
     def on_body(self, body: bytes) -> None:
-        sink = self.answer.sink
-        if sink is None:
+        if self.answer.sink is not None:
+            if not self.pieces:
+                self.link.loop.call_soon(self._read)
+                self.transport.pause_reading()
+            self.pieces.append(body)
+
+    def _read(self) -> None:
+        """One piece of the body, then the loop's other work.
+
+        Danger: a few kilobytes that unpack to megabytes stop every call beside them for as long as it takes
+        to read them, or unpack to gigabytes.  Piece by piece others get their turn and the sink's bound
+        comes first.  Hurts by the time that an answer waits for others, which is theirs.
+        """
+        if self.asked is None or self.asked.done() or not self.pieces:
+            return
+        try:
+            body = self.pieces[0]
+            if self.unpack is None:
+                self.answer.sink.feed(body[:PIECE])
+                rest = body[PIECE:]
+            else:
+                self.answer.sink.feed(self.unpack.decompress(body, PIECE))
+                rest = self.unpack.unconsumed_tail
+        except (ValueError, zlib.error) as problem:
+            self.fail(f"not understood: {problem}")
             return
-        if self.unpack is None:
-            sink.feed(body)
+        if rest:
+            self.pieces[0] = rest
+        else:
+            self.pieces.popleft()
+        if self.pieces:
+            self.link.loop.call_soon(self._read)
             return
-        # Danger: a few kilobytes that unpack to gigabytes.  Piece by piece the sink's bound comes first.
-        while body:
-            sink.feed(self.unpack.decompress(body, PIECE))
-            body = self.unpack.unconsumed_tail
+        self.heard_at = self.link.loop.time()
+        if not self.lost:
+            self.transport.resume_reading()
+        if self.whole:
+            self._over()
 
     def on_message_complete(self) -> None:
-        if self.unpack is not None and self.answer.sink is not None:
-            if not self.unpack.eof:
-                raise ValueError("a gzip'd body cut short")
+        self.whole = True
+        if not self.pieces:
+            self._over()
+
+    def _over(self) -> None:
+        if self.unpack is not None and self.answer.sink is not None and not self.unpack.eof:
+            self.fail("a gzip'd body cut short")
+            return
         if self.asked is not None and not self.asked.done():
             self.asked.set_result(self.answer)
-        if not self.parser.should_keep_alive():
+        if not self.parser.should_keep_alive() and not self.lost:
             self.transport.close()
 
     def fail(self, why: str) -> None:
@@ -154,6 +191,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self._trace("down", b"")
+        if self.whole:
+            return  # all of it has come; the rest of it is being read
         if self.asked is not None and not self.asked.done():
             half = " after half an answer" if self.answer.bytes else ""
             self.asked.set_exception(Failed(f"the connection was lost{half}"))
--- a/eiderstep/registry/model.py
+++ b/eiderstep/registry/model.py
@@ -33,6 +33,10 @@
     DELETED = "DELETED"
 
 
+STATUSES = {status.value: status for status in Status}
+ACTIONS = {action.value: action for action in Action}
+
+
 @dataclass(frozen=True, slots=True)
 class Instance:
     """One instance.  `address` is `host:port`, empty where the answer gives none that can be dialled."""
@@ -79,6 +83,16 @@
     return 0
 
 
+def status_of(word: object) -> Status:
+    """A status by its name in any case; UNKNOWN for anything else."""
+    return STATUSES.get(word.strip().upper(), Status.UNKNOWN) if isinstance(word, str) else Status.UNKNOWN
+
+
+def action_of(word: object) -> Action:
+    """What a delta says of an instance; a list says nothing, and so ADDED."""
+    return ACTIONS.get(word.strip().upper(), Action.ADDED) if isinstance(word, str) else Action.ADDED
+
+
 def _word(row: Mapping[str, object], name: str) -> str:
     value = row.get(name)
     return value.strip() if isinstance(value, str) and len(value) <= TEXT_LIMIT else ""
@@ -99,19 +113,11 @@
         if enabled and not port:
             port = whole(row.get(f"{which}.$", row.get(which)))
     good = bool(host) and not any(c.isspace() for c in host) and 0 < port <= LAST_PORT
-    try:
-        status = Status(_word(row, "status").upper())
-    except ValueError:
-        status = Status.UNKNOWN
-    try:
-        action = Action(_word(row, "actionType").upper())
-    except ValueError:
-        action = Action.ADDED
     return Instance(
         app=(_word(row, "app") or app).upper(),
         id=name,
-        status=status,
-        action=action,
+        status=status_of(row.get("status")),
+        action=action_of(row.get("actionType")),
         address=f"{host}:{port}" if good else "",
         dirty=whole(row.get("lastDirtyTimestamp")),
         updated=whole(row.get("lastUpdatedTimestamp")),
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -88,10 +88,14 @@
     "deep": ("application/json", b'{"applications":' + b"[" * 40, "nested"),
     "deep xml": ("application/xml", b"<applications>" + b"<a>" * 40, "nested"),
     "entities": ("application/xml", b"<!DOCTYPE a [<!ENTITY b 'c'>]><applications/>", "document type"),
-    "long value": ("application/json", LONG + b"x" * 9000 + b'"}', "value of over"),
+    "long value": ("application/json", LONG + b"x" * 9000 + b'"}]}]}}', "value of over"),
     "too many": ("application/json", render(records(21), "json", 1, "x"), "over 20 instances"),
     "too much": ("application/json", render(records(2), "json", 1, "x") + b" " * 300_000, "bytes"),
-    "fields": ("application/json", LONG + b'a"' + b"".join(b',"f%d":1' % n for n in range(300)), "fields"),
+    "fields": (
+        "application/json",
+        LONG + b'a","metadata":{"a":1' + b"".join(b',"f%d":1' % n for n in range(300)) + b"}}]}]}}",
+        "fields",
+    ),
 }
 
 
