--- a/eiderstep/lab/polling.py
+++ b/eiderstep/lab/polling.py
@@ -116,7 +116,7 @@
     return {"answer": len(body), "kept": kept, "beyond": peak - kept}
 
 
-def crowd(seed: int = 1, silent: float = 60.0) -> dict[str, float]:
+def crowd(seed: int = 1, silent: float = 60.0, others: int = 1940) -> dict[str, float]:
     """Sixty call servers on two peers, in virtual time: requests a second in calm, during a minute of silence
     and after the return with half of the exchanges changed."""
     loop = VirtualLoop()
@@ -127,7 +127,7 @@
 
     async def run() -> dict[str, float]:
         for table, peer in zip(tables, peers, strict=True):
-            _fill(table, 60, 1940)
+            _fill(table, 60, others)
             table.recent.clear()
             await peer.listen()
         clients = []
--- a/eiderstep/registry/view.py
+++ b/eiderstep/registry/view.py
@@ -43,6 +43,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 RENEWALS = 2  # a replica's renewal of before the departure can arrive once after it
 LEASES = 2  # Eureka itself lets a lease run for twice its length before it evicts
+SETTLED = 30 * SECOND  # by then every replica names a new instance: one poll of Eureka's own caches
 LOSS_WINDOW = 10 * SECOND  # Eureka evicts in batches: losses this close together are one
 LIVES = 100_000  # remembered at most, the departed among them
 LAST_NUMBER = 65535
@@ -110,6 +111,7 @@
     started: int  # on our clock, 0 for long ago
     seen: int  # when any registry last listed it (ns)
     closed: dict[str, Status | None] = field(default_factory=dict)  # None: it has left
+    since: int = 0  # when it was first listed
     proof: dict[str, tuple[int, int]] = field(default_factory=dict)  # registry: last renewal, times grown
     lost_at: int = 0  # when it left without a closing word, 0 otherwise
     was_up: bool = False
@@ -131,6 +133,7 @@
     old: dict[str, int] = field(default_factory=dict)  # leases long over, and the renewal that they stood at
     doubted: dict[str, int] = field(default_factory=dict)  # ids that it lost with most others, and since when
     spoke: int = -1
+    known: bool = False  # a whole list of it has been taken
     silent_since: int = -1  # -1: it speaks
     why: str = ""
 
@@ -179,6 +182,9 @@
             source.doubted.pop(each.id, None)
             self._says(now, name, each, picture)
         left = [each for each in before.values() if each.id not in listed]
+        if picture.full and not source.known:
+            source.known = True
+            left += self._unlisted(now, listed)
         self._leave(now, name, source, left)
         return self._settle(now)
 
@@ -214,6 +220,18 @@
 
     # -- what one answer says ------------------------------------------------------------------------------
 
+    def _unlisted(self, now: int, listed: dict[str, Processor]) -> list[Processor]:
+        """Whom a registry that is heard for the first time does not name, though others long have.
+
+        Danger: after a failover the last registry's word stays for ever on what left meanwhile.  What is
+        younger than `SETTLED` may only not have reached this one.  Harms as rule 1 does.
+        """
+        return [
+            life.latest
+            for life in self._best().values()
+            if life.up and life.latest.id not in listed and now - life.since >= SETTLED
+        ]
+
     def _usable(self, picture: Picture) -> dict[str, Processor]:
         listed: dict[str, Processor] = {}
         for found in picture.instances.values():
@@ -249,7 +267,7 @@
             if life is None or one.born != life.latest.born:
                 was_up = life is not None and life.was_up
                 started = self._started(now, one, picture.clock, life)
-                life = self.lives[one.id] = Life(one, started, now, was_up=was_up)
+                life = self.lives[one.id] = Life(one, started, now, since=now, was_up=was_up)
                 self._bound(now)
             life.latest = one
             life.closed.clear()
@@ -362,7 +380,7 @@
         for one, life in self.lives.items():
             if life.closed.get(name) is not None and any(one in s.listed for s in speaking.values()):
                 del life.closed[name]
-        source.listed, source.old, source.doubted = {}, {}, {}
+        source.listed, source.old, source.doubted, source.known = {}, {}, {}, False
 
     def _bound(self, now: int) -> None:
         """Danger: names that come and go for ever.  The departed go once nobody can bring them back."""
@@ -384,7 +402,8 @@
 
     # -- the list ------------------------------------------------------------------------------------------
 
-    def _wanted(self) -> dict[str, OfficeEntry]:
+    def _best(self) -> dict[str, Life]:
+        """By address the life that counts: the one that started last."""
         best: dict[str, Life] = {}
         for life in self.lives.values():
             office = life.latest.office
@@ -392,8 +411,11 @@
             key = (life.latest.born, life.latest.instance.dirty, life.latest.id)
             if rival is None or key > (rival.latest.born, rival.latest.instance.dirty, rival.latest.id):
                 best[office] = life
+        return best
+
+    def _wanted(self) -> dict[str, OfficeEntry]:
         wanted: dict[str, OfficeEntry] = {}
-        for office, life in best.items():
+        for office, life in self._best().items():
             if life.gone or not (life.up or life.was_up):
                 continue
             state = OfficeState.UP if life.up else OfficeState.DRAINING
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -281,6 +281,17 @@
     assert 5 not in told.says("two", *fleet(*range(5)), after=20)
 
 
+def test_the_registry_turned_to_after_a_failure_tells_who_left_meanwhile() -> None:
+    told = Told()
+    told.says("one", *fleet(*range(5)))
+    told.says("one", *fleet(*range(6)), after=40)
+    told.take(told.view.lost(told.at, "one", "silent"))
+    five = dict.fromkeys(range(1, 6), "UP")
+    assert told.says("two", *fleet(1, 2, 3, 4)) == five, "exchange 5 may not have reached it yet"
+    told.take(told.view.lost(told.at, "two", "silent"))
+    assert told.says("three", after=40) == five, "an empty table still says nothing"
+
+
 def test_a_lease_long_over_is_a_departure_unless_most_are() -> None:
     told = Told()
     alive = fleet(0, 1, 2, 3, renewed=DAY_MS, duration=90_000)
