--- a/eiderstep/cli/day.py
+++ b/eiderstep/cli/day.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import msgspec
 import typer
 
 from eiderstep.lab import day as lab
@@ -21,11 +22,19 @@
     processes: Annotated[
         bool, typer.Option(help="With --sockets: each call server in its own process.")
     ] = False,
+    list_from: Annotated[
+        str, typer.Option("--list", help="register, registry or both, whatever the script says.")
+    ] = "",
     as_json: Annotated[bool, typer.Option("--json", help="The result as JSON.")] = False,
     keep: Annotated[Path | None, typer.Option(help="Keep result, log, settings and capture here.")] = None,
 ) -> None:
     """Play a day and judge it; exit 1 where a rule is broken or a call is left."""
     plan = scripts.load(script)
+    if list_from not in ("", "register", "registry", "both"):
+        said = f"found {list_from!r}; allowed: register, registry, both"
+        raise typer.BadParameter(said, param_hint="--list")
+    if list_from:
+        plan = msgspec.structs.replace(plan, fleet=msgspec.structs.replace(plan.fleet, list_from=list_from))
     if not 1 <= servers <= plan.fleet.count:
         raise typer.BadParameter(f"found {servers}; allowed: 1 to {plan.fleet.count}", param_hint="--servers")
     if processes and not sockets:
--- a/eiderstep/registry/view.py
+++ b/eiderstep/registry/view.py
@@ -166,7 +166,7 @@
         """One registry's answer."""
         source = self.sources.setdefault(name, Source())
         source.spoke, source.silent_since, source.why = now, -1, ""
-        self.failed = False
+        back, self.failed = self.failed, False
         listed = self._usable(picture)
         before = source.listed
         if picture.full:
@@ -186,7 +186,11 @@
             source.known = True
             left += self._unlisted(now, listed)
         self._leave(now, name, source, left)
-        return self._settle(now)
+        news = self._settle(now)
+        if back and self.whole:
+            # Danger: who was told of the failure (choice.py) waits for a list, and nothing may have changed.
+            return [(ListKind.COMPLETE, self.entries())]
+        return news
 
     def lost(self, now: int, name: str, why: str) -> list[News]:
         """A registry could not be asked, or its answer could not be used."""
