--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -37,6 +37,7 @@
 from eiderstep.registry.pace import Ask
 from eiderstep.registry.registrant import Registrant
 from eiderstep.registry.table import Picture
+from eiderstep.server.node import CallServer
 from eiderstep.standin.eureka import Record, Table
 from eiderstep.standin.eureka_wire import HTML, LIES, Eureka
 from eiderstep.standin.register import Entry
@@ -287,6 +288,54 @@
     virtual(run)
 
 
+def test_a_call_server_keeps_its_entry_and_takes_it_back_when_it_stops() -> None:
+    async def run(loop: VirtualLoop) -> None:
+        site = EurekaSite(loop, 0.0)
+        await site.listen()
+        site.preset(Entry("127.0.0.1:7001", 1))
+        text = SETTINGS.replace("{one}", site.addresses[0]).replace("{two}", site.addresses[1])
+        events: list[str] = []
+        server = CallServer(loop, load_text(text), lambda level, event, call, fields: events.append(event))
+        await server.start()
+        await asyncio.sleep(1)
+        held = site.tables[0].leases["C", "s0"]
+        assert (held.status, f"{held.host}:{held.port}") == ("UP", server.address)
+        assert server.registry is not None and server.registry.view.whole
+        said: list[str] = []
+        plain = site.tables[0].register
+
+        def register(record: Record, replicated: bool = False) -> None:
+            said.append(record.status)
+            plain(record, replicated)
+
+        site.tables[0].register = register  # type: ignore[method-assign]
+        server.stop()
+        await server.stopped
+        assert said == ["DOWN"]
+        assert ("C", "s0") not in site.tables[0].leases and events[-1] == "stopped"
+        site.close()
+
+    virtual(run)
+
+
+def test_a_registry_that_is_away_holds_no_stop_up() -> None:
+    async def run(loop: VirtualLoop) -> None:
+        site = EurekaSite(loop, 0.0)
+        await site.listen()
+        text = SETTINGS.replace("{one}", site.addresses[0]).replace("{two}", site.addresses[1])
+        server = CallServer(loop, load_text(text), lambda *_: None)
+        await server.start()
+        await asyncio.sleep(1)
+        site.lie("silence", [], [])
+        began = loop.time()
+        server.stop()
+        await server.stopped
+        assert loop.time() - began <= 1.1, "the last words' time and no more"
+        site.close()
+
+    virtual(run)
+
+
 # -- HTTP --------------------------------------------------------------------------------------------------
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -268,7 +268,7 @@
     told.take(told.view.due(told.at + 3600 * SECOND))
     assert told.kinds.count(ListKind.FAILED) == 1 and len(told.up) == 6
     told.says("one", *fleet(*range(6)))
-    assert told.kinds[-1] is ListKind.COMPLETE, "back, and says so though nothing has changed"
+    assert told.kinds[-1:] == [ListKind.COMPLETE], "back, and says so though nothing has changed"
     assert told.says("one", *fleet(*range(5))) == dict.fromkeys(range(5), "UP"), (
         "back with what it lost meanwhile"
     )
