Sizing trunk groups: formulas, estimation, verdicts, advice; groups measured in the call server

Whether a group is too small or was unlucky could not be told. eiderstep/sizing: Erlang B and its inverses, Engset, redials, Kaufman-Roberts, Wilkinson, Hayward, Fredericks, reservation, the fixed point over a network; loads from censored measurements with intervals; the meter in the engine and its SQLite store. Against exact fractions to 1e-9 and better, the inverses against the printed tables; sizes of three-node networks within a circuit of exhaustive search; a lab that puts known loads through the real server.

--- a/eiderstep/config/schema.py
+++ b/eiderstep/config/schema.py
@@ -139,6 +139,18 @@
     lease: Lease | None = None
 
 
+class Sizing(Strict, frozen=True, kw_only=True):
+    """Measuring the trunk groups; targets are the shares of first tries that may find no circuit."""
+
+    store: Annotated[str, Meta(min_length=1, description="a file for the measurements")]
+    period: Length = 60 * SECOND
+    redial_window: Length = 60 * SECOND  # a try for a number refused no longer ago is a redial
+    target: Annotated[float, Meta(gt=0, lt=1, description="above 0, below 1")] = 0.01
+    targets: dict[str, Annotated[float, Meta(gt=0, lt=1, description="above 0, below 1")]] = {}  # by class
+    module: Annotated[int, Meta(ge=1, le=1000, description="1 to 1000")] = 1  # circuits are had in so many
+    price: Worth = 1.0  # of a circuit
+
+
 class Timers(Strict, frozen=True, kw_only=True):
     """The base times of RFC 3261 section 17.1.1.1, and the grain of all timers."""
 
@@ -188,6 +200,7 @@
         "register"  # where both are given: the main one; the other is its fallback
     )
     fallback_after: Length = 5 * SECOND  # how long the main one may fail before the other is believed
+    sizing: Sizing | None = None
     timers: Timers = Timers()
     limits: Limits = Limits()
     seed: Annotated[int, Meta(ge=0, le=2**62, description="0 to 2**62")] = 0
@@ -246,6 +259,9 @@
         prefixes.add(route.prefix)
     if settings.ordinal >= settings.controllers:
         return "$.ordinal", f"found {settings.ordinal}; allowed: below controllers, {settings.controllers}"
+    for name in settings.sizing.targets if settings.sizing is not None else ():
+        if name not in names:
+            return "$.sizing.targets", f"found class {name!r}; allowed: {', '.join(names)}"
     registry = settings.registry
     if registry is not None:
         if len(set(registry.addresses)) < len(registry.addresses):
--- a/eiderstep/engine/calls.py
+++ b/eiderstep/engine/calls.py
@@ -30,8 +30,9 @@
     """One call: from its INVITE to its release.  It owns the circuits that its caller's exchange seized."""
 
     __slots__ = (
-        "attempt", "beyond_full", "circuits", "cls", "dest", "dialog", "expires", "flow", "invite", "legs",
-        "ledger", "local", "name", "session", "state", "tag", "transit", "trying", "tx", "width",
+        "attempt", "beyond_full", "circuits", "cls", "counted", "dest", "dialog", "expires", "flow", "invite",
+        "legs", "ledger", "local", "name", "redial", "session", "state", "tag", "transit", "trying", "tx",
+        "width",
     )  # fmt: skip
     seized_here = False
     releasing = False
@@ -51,6 +52,7 @@
         self.dialog: Dialog | None = None
         self.trying: Any = None  # the timer of its 100
         self.transit = self.local = self.beyond_full = False
+        self.redial = self.counted = False  # for the meter: as it came, and whether its loss is counted
 
 
 class Attempt:
--- a/eiderstep/engine/core.py
+++ b/eiderstep/engine/core.py
@@ -70,6 +70,7 @@
     def link_up(self, now: int, address: str, flow: int) -> None:
         """A connection that we dialled stands."""
         self.links[address] = flow
+        self._measure_link(now, self.offices.get(address, -1))
         self._log("info", "link up", address=address)
 
     def flow_lost(self, now: int, flow: int) -> None:
@@ -77,6 +78,7 @@
         for address, mine in list(self.links.items()):
             if mine == flow:
                 del self.links[address]
+                self._measure_link(now, self.offices.get(address, -1))
                 if address in self.offices or address == self.settings.lines:
                     self.effects.append(fx.Dial(address))
                 self._log("warning", "link lost", address=address, standing=len(self.on_flow.get(flow, ())))
@@ -103,6 +105,8 @@
                     self.current[entry.number] = entry.office
                     self.told.pop(entry.number, None)
                     self.dirty.add(entry.number)
+        for entry in kept if self.meter is not None else ():
+            self._measure_link(now, entry.number)
         self.events.append(io.OfficeList(kind, kept))
 
     def due(self, now: int) -> None:
@@ -131,7 +135,7 @@
         """Hand the events of this moment to the module, carry out its actions, until nothing is left."""
         while True:
             if self.dirty:
-                self._tell_circuits()
+                self._tell_circuits(now)
             if not self.events:
                 break
             events, self.events = self.events, []
@@ -147,15 +151,49 @@
         """Circuits that this end holds busy, over all groups."""
         return sum(len(ledger.busy) for ledger in self.ledgers.values())
 
-    def _tell_circuits(self) -> None:
+    def _tell_circuits(self, now: int) -> None:
         for number in sorted(self.dirty):
             office, ledger = self.current.get(number), self.ledgers[number]
+            if self.meter is not None:
+                self.meter.level(now, number, len(ledger.busy), ledger.size)
             figures = (ledger.free, ledger.size)
             if office is not None and self.told.get(number) != figures:
                 self.told[number] = figures
                 self.events.append(io.OfficeHeard(office, True, True, 0, mapping.report(ledger, None)))
         self.dirty.clear()
 
+    def _measure_link(self, now: int, number: int) -> None:
+        if self.meter is not None:
+            self.meter.link(now, number, self.current.get(number, "") in self.links)
+
+    def _measure_send(self, call: Call, number: int) -> None:
+        """Where a set-up goes, as the meter wants it: its own group, an alternate for want of circuits, or
+        another exchange's group."""
+        meter = self.meter
+        assert meter is not None
+        if call.transit or number != call.dest:
+            meter.for_other(number, call.cls)
+        if not call.transit and number != call.dest and not call.counted and self._no_circuits(call):
+            call.counted = True
+            meter.blocked(call.dest, call.cls, call.redial, True)
+
+    def _no_circuits(self, call: Call) -> bool:
+        own = self.ledgers.get(call.dest)
+        return own is not None and own.total > 0 and own.free < call.width
+
+    def _measure_loss(self, now: int, call: Call) -> None:
+        """A call is turned away: for want of circuits of its own group, or for another cause."""
+        meter = self.meter
+        assert meter is not None
+        if call.transit or call.local:
+            return
+        if not call.counted:
+            if not call.legs and self._no_circuits(call):
+                meter.blocked(call.dest, call.cls, call.redial, False)
+            else:
+                meter.refused(call.dest, call.cls)
+        meter.gave_up(now, call.cls, call.invite.uri)
+
     def _unlist(self, office: str) -> None:
         number = self.offices.pop(office, None)
         if number is not None:
@@ -243,6 +281,8 @@
             answer.body = message.body
             answer.set("content-type", message.get("content-type"))
         call.state = CallState.STANDING
+        if self.meter is not None and not (call.local or call.transit):
+            self.meter.stands(now, call.dest, call.cls)
         if call.trying is not None:
             call.trying.call_off()
         call.dialog = Dialog.of_server(call.invite, answer, call.flow)
@@ -318,6 +358,8 @@
                 io.AttemptEnded(action.call, 0, action.office, io.Outcome.NOT_SENT, io.Cause.NONE, True, 0)
             )
             return
+        if self.meter is not None:
+            self._measure_send(call, number)
         leg, call.legs = call.legs, call.legs + 1
         attempt = Attempt(call, leg, action.office, number, now, action.until)
         ledger, flow = self.ledgers.get(number), self.links.get(action.office)
@@ -391,6 +433,8 @@
         call = self.calls.get(action.call)
         if call is None:
             return
+        if self.meter is not None:
+            self._measure_loss(now, call)
         self._log("debug", "call refused", call.name, pause=action.pause)
         self._final(
             now, call, mapping.refusal(call.invite, call.tag, action.pause, call.transit, call.beyond_full)
@@ -400,6 +444,8 @@
         call = self.calls.get(action.call)
         if call is None:
             return
+        if self.meter is not None:
+            self._measure_loss(now, call)
         self._log("debug", "call abandoned", call.name)
         self._final(now, call, mapping.failure(call.invite, call.tag, call.legs > 0, call.transit))
 
--- a/eiderstep/engine/legs.py
+++ b/eiderstep/engine/legs.py
@@ -20,6 +20,7 @@
 from eiderstep.sip.dialog import cancel
 from eiderstep.sip.message import Message, response
 from eiderstep.sip.transaction import State, Times, Transaction, Transactions
+from eiderstep.sizing.meter import Meter
 
 OPEN = (AttemptState.OUT, AttemptState.CANCELLING)
 
@@ -57,6 +58,7 @@
         self.events: list[io.Event] = []
         self.effects: list[fx.Effect] = []
         self.verbose = False
+        self.meter: Meter | None = None
         self.counts: dict[str, int] = {}
         self._heap: list[tuple[int, int, Entry]] = []
         self._ids = self._entries = 0
@@ -223,6 +225,8 @@
         """A standing call ends; the module is told once."""
         if call.state is CallState.STANDING:
             call.state = CallState.OVER
+            if self.meter is not None and call.attempt is not None and not (call.local or call.transit):
+                self.meter.ended(now, call.dest, call.cls, now - call.attempt.sent_at)
             if call.attempt is not None:
                 self._attempt_over(now, call.attempt, outcome, io.Cause.NONE, None, 0)
         self._tidy(call)
--- a/eiderstep/engine/requests.py
+++ b/eiderstep/engine/requests.py
@@ -105,6 +105,8 @@
         if offer.dest == self.settings.number:
             self._to_lines(now, call)
             return
+        if self.meter is not None and not call.transit:
+            call.redial = self.meter.tried(now, offer.dest, offer.cls, message.uri, offer.redialled)
         self.events.append(
             io.CallOffered(
                 name,
--- a/eiderstep/lab/day.py
+++ b/eiderstep/lab/day.py
@@ -404,14 +404,15 @@
         try:
             world = World(loop, day, seed, log, servers, (keep or Path(spare)) if processes else None)
             result = loop.run_until_complete(_run(world))
-            _cancel_rest(loop)
+            cancel_rest(loop)
             return result, world.captured()
         finally:
             asyncio.set_event_loop(None)
             loop.close()
 
 
-def _cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
+def cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
+    """End what still runs, so that closing the loop leaves nothing unawaited."""
     rest = asyncio.all_tasks(loop)
     for task in rest:
         task.cancel()
--- a/eiderstep/lab/world.py
+++ b/eiderstep/lab/world.py
@@ -10,7 +10,15 @@
 from typing import Any
 
 from eiderstep.audit import Away, Capture, ColdStart, Facts
-from eiderstep.config.schema import Limits, Peer, Register, Registry, Route, ServerSettings
+from eiderstep.config.schema import (
+    Limits,
+    Peer,
+    Register,
+    Registry,
+    Route,
+    ServerSettings,
+    Sizing,
+)
 from eiderstep.lab.clock import VirtualLoop
 from eiderstep.lab.process import ProcessServer
 from eiderstep.lab.registry import APP, REPLICATION, EurekaSite
@@ -23,6 +31,8 @@
 from eiderstep.standin.register import Entry
 from eiderstep.standin.register import Register as RegisterStandin
 
+MEASURED = 10 * SECOND  # a bucket of a measured day
+PATIENT = 3600 * SECOND  # callers of a group of one circuit may say nothing for minutes
 NUMBERS = 1000  # subscribers of one exchange that are called
 Log = Callable[[str, str, str, dict[str, Any]], None]
 
@@ -65,6 +75,7 @@
         self.sites: dict[int, Site] = {}
         self.starts: list[tuple[int, float]] = []
         self.stalls: list[tuple[int, int]] = []
+        self.measure: Path | None = None  # a folder: call servers measure their groups into it
         self.away: list[Away] = []
         self.left_at: dict[int, int] = {}  # exchanges that are away, and since when (ns)
         self.began = 0.0
@@ -190,10 +201,16 @@
             ),
             registry=next((self.registry(x) for x in lists if isinstance(x, EurekaSite)), None),
             list_from="register" if fleet.list_from == "register" else "registry",
-            limits=Limits(first_message=3 * SECOND, drain=2 * SECOND),
+            sizing=self.sizing(number),
+            limits=Limits(first_message=PATIENT if self.measure else 3 * SECOND, drain=2 * SECOND),
             seed=self.seed * 1009 + number,
         )  # fmt: skip
 
+    def sizing(self, number: int) -> Sizing | None:
+        if self.measure is None:
+            return None
+        return Sizing(store=str(self.measure / f"{number}.db"), period=MEASURED)
+
     def registry(self, site: EurekaSite) -> Registry:
         fleet = self.day.fleet
         return Registry(
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import sqlite3
 from collections.abc import Callable
 from functools import partial
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -19,9 +21,12 @@
 from eiderstep.server.wire import DatagramWire, StreamWire, Trace
 from eiderstep.sip.message import Message, split_address
 from eiderstep.sip.parser import BadMessage, Limits
+from eiderstep.sizing.meter import Meter
+from eiderstep.sizing.store import Store
 
 SECOND = 1_000_000_000
 REDIAL_CAP = 8  # times the first pause between two dials
+THIN_EVERY = 3600 * SECOND
 LAST_WORDS = 1.0  # seconds that a stop waits for the answers to its own releases
 
 Logger = Callable[[str, str, str, dict[str, Any]], None]
@@ -62,6 +67,8 @@
         both = settings.register is not None and settings.registry is not None
         self.choice = Choice(settings.list_from, settings.fallback_after) if both else None
         self.choice_timer: asyncio.TimerHandle | None = None
+        self.store: Store | None = None
+        self.thinned = 0
         self.ended = False
         self.stopped = loop.create_future()
 
@@ -77,6 +84,7 @@
         name = self.server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
         self.engine = Engine(self.settings, self.address)
+        self._measure()
         if self.settings.udp or self.settings.udp_peers:
             _, self.datagrams = await self.loop.create_datagram_endpoint(
                 lambda: DatagramWire(self, self._datagram_flow), local_addr=(host, name[1])
@@ -107,6 +115,9 @@
         self._unfollow()
         if self.registrant is not None:
             self.registrant.stop()
+        if self.store is not None:
+            self.store.close()
+            self.store = None
         self.engine = None
         if self.timer is not None:
             self.timer.cancel()
@@ -117,6 +128,7 @@
         if self.ended:
             return
         self.ended = True
+        self._roll_up(last=True)
         self._shut(abort=False)
         if self.registrant is None or self.registrant.over.done():
             self._said_last()
@@ -321,6 +333,49 @@
             self.engine.due(now)
             self._flush()
 
+    # -- measurement ---------------------------------------------------------------------------------------
+
+    def _measure(self) -> None:
+        """Measure the groups, if the settings want it.  A store that cannot be had stops no call server."""
+        sizing = self.settings.sizing
+        if sizing is None:
+            return
+        try:
+            self.store = Store(Path(sizing.store))
+            self.store.describe(exchange=str(self.settings.number))
+        except (OSError, sqlite3.Error) as problem:
+            self.log("error", "no measurements", "", {"store": sizing.store, "why": str(problem)})
+            return
+        if self.store.put_aside is not None:
+            self.log("error", "measurements put aside", "", {"damaged": str(self.store.put_aside)})
+        assert self.engine is not None
+        groups = {peer.number: peer.circuits for peer in self.settings.peers if peer.circuits}
+        # Where callers mark their redials nothing has to be guessed from the numbers called.
+        window = 0 if self.settings.rules.redials_marked else sizing.redial_window
+        self.engine.meter = Meter(groups, len(self.settings.classes), self.now(), window)
+        for number in groups:
+            self.engine.meter.link(self.now(), number, False)
+        self.loop.call_later(sizing.period / SECOND, self._roll_up)
+
+    def _roll_up(self, last: bool = False) -> None:
+        """Close the open buckets and store them; what cannot be stored is lost, and said."""
+        sizing = self.settings.sizing
+        if self.engine is None or self.engine.meter is None or self.store is None or sizing is None:
+            return
+        epoch = self.epoch() * 1_000_000
+        try:
+            self.store.add(self.engine.meter.roll(self.now(), epoch))
+            if epoch - self.thinned > THIN_EVERY:
+                self.thinned = epoch
+                self.store.thin(epoch)
+        except sqlite3.Error as problem:
+            self.log("error", "measurements lost", "", {"why": str(problem)})
+        if last:
+            self.store.close()
+            self.store = None
+        else:
+            self.loop.call_later(sizing.period / SECOND, self._roll_up)
+
     # -- the list of exchanges -----------------------------------------------------------------------------
 
     def _follow(self) -> None:
--- /dev/null
+++ b/tests/test_sizing.py
@@ -0,0 +1,460 @@
+"""Loss formulas against exact arithmetic and published tables; estimation, verdicts and advice; meter and
+store."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import sqlite3
+from fractions import Fraction
+from pathlib import Path
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eiderstep.lab import sizing as lab
+from eiderstep.lab.arrivals import Kind, Outage, Redials, daily, play
+from eiderstep.sizing import erlang, mixed, network, overflow
+from eiderstep.sizing.bucket import Bucket, Counts
+from eiderstep.sizing.estimate import Load, Verdict, dispersion, judge, loads
+from eiderstep.sizing.meter import Meter
+from eiderstep.sizing.mixed import Stream
+from eiderstep.sizing.network import Network, pair
+from eiderstep.sizing.recommend import advise, circuits_for
+from eiderstep.sizing.store import Store
+
+SECOND = 1_000_000_000
+HOUR = 3600 * SECOND
+
+
+# -- formulas ----------------------------------------------------------------------------------------------
+
+
+def exact_b(n: int, a: Fraction) -> Fraction:
+    """Erlang's formula as it stands, in fractions."""
+    terms = [a**k / math.factorial(k) for k in range(n + 1)]
+    return terms[-1] / sum(terms)
+
+
+@pytest.mark.parametrize("n", [0, 1, 2, 3, 10, 60, 200])
+@pytest.mark.parametrize("a", [Fraction(1, 100), Fraction(1), Fraction(17, 3), Fraction(90), Fraction(400)])
+def test_erlang_b_to_the_last_digits(n: int, a: Fraction) -> None:
+    exact = float(exact_b(n, a))
+    assert erlang.erlang_b(n, float(a)) == pytest.approx(exact, rel=1e-12)
+    if exact > 1e-250:
+        assert erlang.erlang_b_real(n, float(a)) == pytest.approx(exact, rel=1e-10)
+
+
+TABLE = {  # erlangs that n circuits take at that blocking: the table that every textbook prints
+    0.01: {1: 0.0101, 2: 0.1526, 3: 0.4555, 5: 1.3608, 10: 4.4612, 20: 12.031, 50: 37.901, 100: 84.064},
+    0.02: {1: 0.0204, 2: 0.2235, 5: 1.6571, 10: 5.0840, 20: 13.182, 50: 40.255, 100: 87.972},
+    0.05: {1: 0.0526, 2: 0.3813, 5: 2.2185, 10: 6.2157, 20: 15.249, 50: 44.533},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("target", TABLE)
+def test_the_inverses_are_the_published_table(target: float) -> None:
+    for n, load in TABLE[target].items():
+        found = erlang.load_for(n, target)
+        assert float(f"{found:.5g}") == pytest.approx(load, abs=0.6 * 10 ** -(4 if load < 10 else 3))
+        assert erlang.erlang_b(n, found) == pytest.approx(target, rel=1e-11)
+        assert erlang.circuits_for(found * 0.9999, target) == n
+        assert erlang.circuits_for_real(found, target) == pytest.approx(n, abs=1e-6)
+
+
+@settings(deadline=None)
+@given(st.floats(0.05, 150), st.floats(0.1, 80))
+def test_the_continuous_formula_keeps_the_recursion(n: float, a: float) -> None:
+    """B(n+1) = a B(n) / (n + 1 + a B(n)) holds for real n as well, and B falls with n."""
+    b, more = erlang.erlang_b_real(n, a), erlang.erlang_b_real(n + 1, a)
+    assert more == pytest.approx(a * b / (n + 1 + a * b), rel=1e-9)
+    assert more < b or b < 1e-300
+
+
+def test_engset_to_the_last_digits() -> None:
+    for n, sources, each in ((1, 2, Fraction(1, 2)), (3, 7, Fraction(2, 5)), (10, 40, Fraction(1, 3))):
+
+        def time(count: int, n: int = n, each: Fraction = each) -> float:
+            terms = [math.comb(count, k) * each**k for k in range(n + 1)]
+            return float(terms[-1] / sum(terms))
+
+        found = erlang.engset(n, sources, float(each))
+        assert found[0] == pytest.approx(time(sources), rel=1e-12)
+        assert found[1] == pytest.approx(time(sources - 1), rel=1e-12)
+    assert erlang.engset(5, 5, 3.0) == (erlang.engset(5, 5, 3.0)[0], 0.0), "a circuit for each: none blocked"
+    assert erlang.engset(4, 100_000, 2e-5)[1] == pytest.approx(erlang.erlang_b(4, 2.0), rel=1e-4)
+
+
+@settings(deadline=None)
+@given(st.integers(1, 80), st.floats(0.01, 150), st.floats(0, 0.98))
+def test_extended_b_is_the_fixed_point_and_has_an_inverse(n: int, a: float, redials: float) -> None:
+    lost, total = erlang.extended_b(n, a, redials)
+    assert total == pytest.approx(a / (1 - redials * lost), rel=1e-9)
+    assert erlang.first_tries(n, total, redials) == pytest.approx(a, rel=1e-9)
+
+
+def exact_mixed(n: int, streams: list[Stream]) -> list[float]:
+    """Kaufman and Roberts' states by the product form, every combination of calls."""
+    weights: dict[int, float] = {}
+    for calls in itertools.product(*(range(n // s.width + 1) for s in streams)):
+        busy = sum(k * s.width for k, s in zip(calls, streams, strict=True))
+        if busy <= n:
+            weight = math.prod(s.load**k / math.factorial(k) for k, s in zip(calls, streams, strict=True))
+            weights[busy] = weights.get(busy, 0.0) + weight
+    whole = sum(weights.values())
+    return [sum(w for b, w in weights.items() if b + s.width > n) / whole for s in streams]
+
+
+@pytest.mark.parametrize("n", [0, 1, 2, 3, 4, 11, 30])
+def test_kaufman_roberts_is_the_product_form(n: int) -> None:
+    streams = [Stream(2.5), Stream(0.7, 2), Stream(1.1, 3)]
+    assert mixed.blocking(n, streams) == pytest.approx(exact_mixed(n, streams), rel=1e-9)
+    assert mixed.blocking(n, [Stream(4.0)]) == pytest.approx([erlang.erlang_b(n, 4.0)], rel=1e-12)
+    big = mixed.states(2000, [Stream(1800.0), Stream(300.0, 3)])
+    assert big.sum() == pytest.approx(1.0) and (big >= 0).all()
+
+
+def test_reservation_by_its_chain() -> None:
+    n, direct, over, r = 4, 2.0, 3.0, 2
+    rates = [direct + (over if x < n - r else 0.0) for x in range(n)]
+    p = [1.0]
+    for x in range(n):
+        p.append(p[-1] * rates[x] / (x + 1))
+    found = mixed.reserved(n, direct, over, r)
+    assert found == pytest.approx((p[n] / sum(p), sum(p[n - r :]) / sum(p)), rel=1e-12)
+    assert mixed.reserved(6, 3.0, 2.0, 0) == pytest.approx((erlang.erlang_b(6, 5.0),) * 2, rel=1e-12)
+    assert mixed.blocking(n, [Stream(direct), Stream(over, 1, r)]) == pytest.approx(found, rel=1e-12)
+
+
+@settings(deadline=None, max_examples=40)
+@given(st.integers(1, 60), st.floats(0.3, 1.6))
+def test_the_equivalent_group_is_the_one_that_overflowed(n: int, tightness: float) -> None:
+    a = n * tightness
+    mean, variance = overflow.overflow(n, a)
+    if mean < 1e-6:
+        return
+    load, circuits = overflow.equivalent(mean, variance)
+    assert load == pytest.approx(a, rel=1e-5) and circuits == pytest.approx(n, rel=1e-5, abs=1e-4)
+    assert overflow.wilkinson(3, mean, variance) == pytest.approx(
+        a * erlang.erlang_b(n + 3, a) / mean, rel=1e-4
+    )
+
+
+def test_peaked_and_smooth_traffic_by_scaling() -> None:
+    assert overflow.hayward(12, 8.0, 1.0) == pytest.approx(erlang.erlang_b(12, 8.0), rel=1e-10)
+    assert overflow.hayward(12, 8.0, 0.6) < erlang.erlang_b(12, 8.0) < overflow.hayward(12, 8.0, 2.0)
+    mean, variance = overflow.overflow(30, 28.0)
+    for n in (4, 8, 12):
+        exact = overflow.wilkinson(n, mean, variance)
+        assert overflow.hayward(n, mean, variance / mean) == pytest.approx(exact, abs=0.08)
+    n = overflow.peaked_circuits_for(10.0, 2.5, 0.01)
+    assert overflow.hayward(n, 10.0, 2.5) <= 0.01 < overflow.hayward(n - 1, 10.0, 2.5)
+    assert overflow.peaked_circuits_for(10.0, 2.5, 0.01, module=24) % 24 == 0
+    losses = overflow.fredericks(30, [(12.0, 1, 1.0), (2.0, 3, 1.0)])
+    exact_losses = mixed.blocking(30, [Stream(12.0), Stream(2.0, 3)])
+    assert losses == pytest.approx(exact_losses, rel=0.35)
+
+
+WRONG = [
+    lambda: erlang.erlang_b(-1, 1.0), lambda: erlang.erlang_b(3, -0.1), lambda: erlang.load_for(5, 1.0),
+    lambda: erlang.load_for(0, 0.1), lambda: erlang.circuits_for(5.0, 0.0), lambda: erlang.extended_b(3,
+    1.0, 1.0), lambda: erlang.engset(3, -1, 0.1), lambda: mixed.states(3, [Stream(1.0, 0)]), lambda:
+    mixed.reserved(3, 1, 1, 4), lambda: overflow.equivalent(1.0, 0.5), lambda: overflow.hayward(3, 1.0, 0.0),
+    lambda: circuits_for([1.0], [1], [0.0], 1.0),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("what", WRONG, ids=range(len(WRONG)))
+def test_out_of_range_says_what_is_allowed(what: object) -> None:
+    with pytest.raises(ValueError, match="found .*allowed"):
+        what()  # type: ignore[operator]
+
+
+# -- a network ---------------------------------------------------------------------------------------------
+
+
+def small(circuits: int = 6, load: float = 3.0, reserve: int = 1) -> Network:
+    pairs = [pair(a, b) for a in range(3) for b in range(a)]
+    return Network(range(3), [1], {p: [load] for p in pairs}, dict.fromkeys(pairs, circuits), reserve)
+
+
+def test_the_fixed_point_of_a_symmetric_network() -> None:
+    """One equation is left: B = B(n, a, overflow of two pairs that come over here)."""
+    point = network.fixed_point(small())
+    assert point.settled
+    direct, over = next(iter(point.direct.values()))[0], next(iter(point.overflow.values()))[0]
+    extra = 2 * 3.0 * direct * (1 - over)
+    assert mixed.reserved(6, 3.0, extra, 1) == pytest.approx((direct, over), rel=1e-6)
+    lost = next(iter(point.lost.values()))[0]
+    assert lost == pytest.approx(direct * (1 - (1 - over) ** 2), rel=1e-6)
+    alone = Network(range(3), [1], small().loads, small().circuits, alternates=False)
+    assert network.fixed_point(alone).worst() == pytest.approx(erlang.erlang_b(6, 3.0), rel=1e-6)
+
+
+def test_sizes_for_a_network_stand_near_those_of_exhaustive_search() -> None:
+    pairs = [(0, 1), (0, 2), (1, 2)]
+    for seed in range(4):
+        rng = Random(seed)
+        net = Network(range(3), [1], {p: [rng.uniform(0.5, 4.0)] for p in pairs}, dict.fromkeys(pairs, 1))
+        target = [0.03]
+        plan = network.size(net, target)
+        assert plan.point.worst() <= target[0]
+        best = min(
+            sum(sizes) for sizes in itertools.product(range(1, 11), repeat=3)
+            if sum(sizes) <= plan.cost
+            and network.fixed_point(
+                Network(net.nodes, net.widths, net.loads, dict(zip(pairs, sizes, strict=True)), net.reserve)
+            ).worst() <= target[0]
+        )  # fmt: skip
+        assert plan.cost <= best + 1, (plan.circuits, best)
+
+
+def test_a_pair_without_a_group_is_sized_over_its_tandem() -> None:
+    net = Network(range(3), [1], {(0, 1): [2.0], (0, 2): [1.0], (1, 2): [1.0]}, {(0, 2): 1, (1, 2): 1}, 0)
+    plan = network.size(net, [0.02])
+    assert plan.point.lost[0, 1][0] <= 0.02 and set(plan.circuits) == {(0, 2), (1, 2)}
+    with pytest.raises(ValueError, match="no way|no group"):
+        network.size(Network(range(3), [1], {(0, 1): [2.0]}, {(0, 2): 1}), [0.02])
+
+
+# -- estimation --------------------------------------------------------------------------------------------
+
+
+def measured(kinds: list[Kind], circuits: int, hours: float, seed: int, **more: object) -> list[Bucket]:
+    """Buckets of a simulated group that knows no formula."""
+    meter, found = Meter({1: circuits}, len(kinds), 0), list[Bucket]()
+
+    def roll(at: float) -> None:
+        found.extend(b for _, b in meter.roll(int(at * SECOND), int(at * SECOND)))
+
+    play(kinds, circuits, hours * 3600, seed, meter, roll=roll, **more)  # type: ignore[arg-type]
+    return found
+
+
+def test_an_outage_and_redials_leave_the_load_as_it_is() -> None:
+    """The plain way, tries times holding time, is off by a third and more on the same measurements."""
+    buckets = measured(
+        [Kind(12)], 11, 12, 5, redials=Redials(0.7), outages=[Outage(3600, 4 * 3600, 0.3, 0.4)]
+    )
+    (load,) = loads(buckets, 1)
+    assert load.low <= 12 <= load.high and load.high - load.low < 2.5
+    tries = sum(b.classes[0].first + b.classes[0].redials for b in buckets) / (12 * 3600)
+    assert tries * load.hold > 12 * 1.25
+    total = sum(b.classes[0].first + b.classes[0].redials for b in buckets if not b.censored)
+    hours = sum(b.length for b in buckets if not b.censored) / SECOND
+    folded = erlang.first_tries(11, total / hours * load.hold, 0.7)
+    assert folded == pytest.approx(12, rel=0.1), "where redials are not told apart they are folded back"
+
+
+@pytest.mark.parametrize(
+    "kinds, circuits, hours, verdict",
+    [
+        ([Kind(8)], 8, 8, Verdict.TOO_SMALL),
+        ([Kind(8)], 20, 8, Verdict.ENOUGH),
+        ([Kind(8)], 15, 0.4, Verdict.CANNOT_TELL),
+        ([Kind(0.3)], 1, 12, Verdict.TOO_SMALL),
+        ([Kind(0.02)], 3, 40, Verdict.ENOUGH),
+        ([Kind(1, width=3)], 4, 8, Verdict.TOO_SMALL),
+        ([Kind(0.0)], 4, 8, Verdict.CANNOT_TELL),
+        ([Kind(10, peaked=6)], 17, 12, Verdict.TOO_SMALL),
+    ],
+)  # fmt: skip
+def test_verdicts(kinds: list[Kind], circuits: int, hours: float, verdict: Verdict) -> None:
+    found = judge(measured(kinds, circuits, hours, 3), [k.width for k in kinds], [0.02])
+    assert found.verdict is verdict, found
+    if verdict is Verdict.CANNOT_TELL:
+        assert found.hours_more is None or found.hours_more > 0
+
+
+def bucket(hour: int, first: int, lost: int = 0, **more: int) -> Bucket:
+    """An hour of a group of ten whose calls stand 100 s."""
+    held = first - lost
+    counts = Counts(
+        first=first, blocked_first=lost, held=held, hold=held * 100 * SECOND, standing=held * 100 * SECOND,
+        hold_squared=held * 2.0e4,
+    )  # fmt: skip
+    plain = {"circuits": 10, "busy": 0, "in_service": 10 * HOUR} | more
+    return Bucket(hour * HOUR, HOUR, classes=(counts,), **plain)
+
+
+def test_unlucky_is_told_from_too_small() -> None:
+    """Four percent lost of a load that cannot make more than two: a bad hour, not a small group."""
+    buckets = [bucket(h, 120) for h in range(40)] + [bucket(40, 120, 100), bucket(41, 120, 110)]
+    found = judge(buckets, [1], [0.02])
+    assert found.verdict is Verdict.UNLUCKY and (found.measured[0] or 0) > 0.02, found
+
+
+def test_what_proves_nothing_is_not_judged() -> None:
+    every = judge([bucket(h, 100, 60, in_service=4 * HOUR) for h in range(9)], [1], [0.02])
+    assert every.verdict is Verdict.CANNOT_TELL and "censored" in every.why
+    assert judge([], [1], [0.02]).verdict is Verdict.CANNOT_TELL
+    full = judge([bucket(h, 0) for h in range(9)], [1], [0.02])
+    assert full.verdict is Verdict.CANNOT_TELL and full.measured == [None]
+
+
+def test_refusals_of_other_causes_are_load_and_no_blocking() -> None:
+    counts = Counts(first=360, refused=300, held=60, hold=60 * 100 * SECOND, standing=60 * 100 * SECOND)
+    buckets = [Bucket(h * HOUR, HOUR, 10, 0, 10 * HOUR, classes=(counts,)) for h in range(24)]
+    found = judge(buckets, [1], [0.02])
+    assert found.measured == [0.0] and found.loads[0].load == pytest.approx(10.0)
+    assert found.verdict is Verdict.TOO_SMALL, "the load is there, whoever turned it away"
+
+
+def test_an_outage_in_the_busy_hour_is_filled_in_from_other_days() -> None:
+    def day(number: int, censored: bool) -> list[Bucket]:
+        more = {"in_service": 2 * HOUR} if censored else {}
+        return [
+            bucket(24 * number + h, 30 if censored and h == 11 else 360 if h == 11 else 90,
+                   **(more if h == 11 else {}))
+            for h in range(24)
+        ]  # fmt: skip
+
+    whole = loads(day(0, False) + day(1, False), 1)[0]
+    cut = loads(day(0, False) + day(1, True), 1)[0]
+    assert cut.rate == pytest.approx(whole.rate, rel=1e-9)
+
+
+def test_a_load_that_drifts_is_not_taken_for_peaked() -> None:
+    rng = Random(1)
+    steady = [sum(rng.random() < 0.02 for _ in range(5000)) for _ in range(400)]
+    drifting = [sum(rng.random() < 0.01 + 0.00005 * i for _ in range(5000)) for i in range(400)]
+    assert dispersion(steady, [1] * 400) < 1.2 and dispersion(drifting, [1] * 400) < 1.2
+    burst = [n if i % 2 else 0 for i, n in enumerate(steady)]
+    assert dispersion(burst, [1] * 400) > 20
+
+
+def test_advice_meets_the_target_and_one_module_less_does_not() -> None:
+    for found, widths in (
+        ([Load(8, 7, 9, 0, 0, 1.0, 500)], [1]),
+        ([Load(5.3, 5.2, 5.4, 0, 0, 1.0, 500)], [1]),
+        ([Load(6, 5, 7, 0, 0, 1.0, 500), Load(1.5, 1, 2, 0, 0, 1.0, 90)], [1, 3]),
+        ([Load(6, 5, 7, 0, 0, 4.0, 500)], [1]),
+    ):
+        targets = [0.02] * len(widths)
+        advice = advise(found, 5, widths, targets, price=2.0)
+        assert advice.low <= advice.circuits <= advice.high and max(advice.blocking) <= 0.02
+        assert advice.cost == 2.0 * (advice.circuits - 5)
+        fewer = advise(found, advice.circuits - 1, widths, targets)
+        assert fewer.circuits > advice.circuits - 1 and advice.overflow_then < advice.overflow_now
+        assert advise(found, 5, widths, targets, module=24).circuits % 24 == 0
+    assert advise([Load(0, 0, 0, 0, 0, 1.0, 0)], 4, [1], [0.01]).circuits == 0
+
+
+def test_a_daily_wave_is_no_reason_for_a_wrong_mean() -> None:
+    (load,) = loads(measured([Kind(10)], 30, 48, 2, profile=daily()), 1)
+    assert load.load == pytest.approx(10, rel=0.06)
+
+
+# -- meter and store ---------------------------------------------------------------------------------------
+
+
+def test_the_meter_integrates_and_knows_redials_by_number() -> None:
+    meter = Meter({1: 10}, 1, 0, window=60 * SECOND)
+    assert not meter.tried(0, 1, 0, "sip:1", False)
+    meter.blocked(1, 0, False, True)
+    meter.gave_up(0, 0, "sip:1")
+    assert meter.tried(5 * SECOND, 1, 0, "sip:1", False), "the number that was refused a moment ago"
+    assert not meter.tried(6 * SECOND, 1, 0, "sip:1", False), "and only once"
+    assert meter.tried(7 * SECOND, 1, 0, "sip:9", True), "as its caller says"
+    meter.level(10 * SECOND, 1, 10, 10)
+    meter.stands(10 * SECOND, 1, 0)
+    meter.level(20 * SECOND, 1, 4, 8)
+    meter.link(30 * SECOND, 1, False)
+    meter.ended(40 * SECOND, 1, 0, 30 * SECOND)
+    ((_, found),) = meter.roll(60 * SECOND, 100 * SECOND)
+    assert (found.start, found.length) == (40 * SECOND, 60 * SECOND)
+    assert found.busy == (10 * 10 + 4 * 40) * SECOND and found.in_service == (10 * 20 + 8 * 40) * SECOND
+    assert (found.full, found.out, found.censored) == (10 * SECOND, 30 * SECOND, True)
+    (counts,) = found.classes
+    assert (counts.first, counts.redials, counts.blocked_first, counts.overflowed) == (2, 2, 1, 1)
+    assert (counts.held, counts.hold, counts.standing) == (1, 30 * SECOND, 30 * SECOND)
+    assert meter.holds(1, 0).get_value_at_percentile(50) == pytest.approx(30_000, rel=0.02)
+    assert list(meter.roll(60 * SECOND, 0)) == []
+    for n in range(20_000):
+        meter.gave_up(61 * SECOND, 0, f"sip:{n}")
+    assert len(meter.refused_at) == 10_000, "bounded"
+
+
+def test_the_store_survives_a_restart_and_a_clock_set_back(tmp_path: Path) -> None:
+    path = tmp_path / "m.db"
+    store = Store(path)
+    store.describe(exchange="4")
+    store.add([(1, bucket(5, 10)), (2, bucket(5, 20))])
+    store.add([(1, bucket(3, 30))])  # two hours back: it stands beside the other, not over it
+    store.add([(1, bucket(5, 40))])
+    store.close()
+    store = Store(path)
+    assert store.meta() == {"exchange": "4"} and store.groups() == [1, 2]
+    assert [b.classes[0].first for b in store.buckets(1)] == [10, 30, 40]
+    assert store.buckets(2) == [bucket(5, 20)]
+    assert [b.classes[0].first for b in store.buckets(1, since=4 * HOUR)] == [10, 40]
+
+
+def test_old_buckets_are_thinned_and_outages_stay_outages(tmp_path: Path) -> None:
+    store = Store(tmp_path / "m.db")
+    minute = HOUR // 60
+    for n in range(3 * 24 * 60):
+        out = minute if 100 <= n < 110 else 0
+        counts = (Counts(first=2, held=1, hold=SECOND, standing=SECOND),)
+        store.add([(1, Bucket(n * minute, minute, 10, 5 * minute, 10 * minute, out, classes=counts))])
+    before = store.buckets(1)
+    fewer = store.thin(3 * 24 * HOUR)
+    after = store.buckets(1)
+    assert fewer == len(before) - len(after) and len(after) < 1440 + 200 + 20
+    for name in ("length", "busy", "in_service", "out"):
+        assert sum(getattr(b, name) for b in before) == sum(getattr(b, name) for b in after)
+    assert sum(b.classes[0].first for b in after) == 2 * 3 * 24 * 60
+    assert sum(b.length for b in after if b.censored) == 10 * minute
+    assert [b.start for b in after] == sorted(b.start for b in after)
+    assert store.thin(3 * 24 * HOUR) == 0, "once is enough"
+
+
+@pytest.mark.parametrize("damage", ["garbage", "truncated", "overwritten"])
+def test_a_damaged_store_is_put_aside_and_begun_anew(tmp_path: Path, damage: str) -> None:
+    path = tmp_path / "m.db"
+    store = Store(path)
+    for h in range(200):
+        store.add([(1, bucket(h, 10))])
+    store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    store.close()
+    whole = path.read_bytes()
+    path.write_bytes({
+        "garbage": b"not a database at all" * 300,
+        "truncated": whole[: len(whole) // 2],
+        "overwritten": whole[:5000] + b"\xff" * 20_000 + whole[25_000:],
+    }[damage])  # fmt: skip
+    again = Store(path)
+    assert again.put_aside is not None and again.put_aside.exists() and again.groups() == []
+    again.add([(1, bucket(1, 5))])
+    assert len(again.buckets(1)) == 1
+
+
+def test_a_store_that_cannot_be_had_says_so(tmp_path: Path) -> None:
+    with pytest.raises(sqlite3.Error):
+        Store(tmp_path / "nowhere" / "m.db")
+
+
+# -- through the real call server --------------------------------------------------------------------------
+
+
+CASES = [
+    lab.Case("one circuit", (Kind(0.4, hold=3),), 1, 240),
+    lab.Case("wide on four", (Kind(0.5, hold=3, width=3),), 4, 240),
+    lab.Case("redials and an outage", (Kind(5, hold=3),), 5, 240, redials=2, outages=(Outage(80, 120, 0.4),)),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda c: c.name)
+def test_what_the_call_server_measures_is_the_load_that_was_offered(case: lab.Case) -> None:
+    outcome = lab.run(case, 2)
+    assert outcome.verdict.kept and not (outcome.left_calls or outcome.left_circuits or outcome.errors)
+    found = loads(outcome.buckets, len(case.kinds))
+    for load, kind in zip(found, case.kinds, strict=True):
+        assert load.low * 0.9 <= kind.load <= load.high * 1.1 and load.hold == pytest.approx(
+            kind.hold, rel=0.35
+        )
+    judged = judge(outcome.buckets, [k.width for k in case.kinds], [0.02])
+    assert judged.verdict in (Verdict.TOO_SMALL, Verdict.CANNOT_TELL)
+    assert any(b.censored for b in outcome.buckets) == bool(case.outages)
