eiderstep size: measure, recommend, explain, what-if, report; groups resized while calls stand

The measurements had no reader, and a new size meant a restart. The commands read the store beside the running server; SIGHUP gives groups the sizes of the settings at both ends, and calls on circuits that go keep them until they end. Growing and shrinking under load: nobody cut, rules kept.

--- a/eiderstep/cli/__init__.py
+++ b/eiderstep/cli/__init__.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from eiderstep.cli import bench, check, day, registry, serve
+from eiderstep.cli import bench, check, day, registry, serve, size
 from eiderstep.config.load import ConfigError
 
 app = typer.Typer(
@@ -17,6 +17,7 @@
 app.command("day")(day.day)
 app.command("bench")(bench.bench)
 app.add_typer(registry.app, name="registry")
+app.add_typer(size.app, name="size")
 
 
 def main() -> None:
--- a/eiderstep/cli/serve.py
+++ b/eiderstep/cli/serve.py
@@ -21,4 +21,5 @@
     verbose: Annotated[bool, typer.Option(help="A line for each step of each call.")] = False,
 ) -> None:
     """Run a call server until SIGTERM, then answer all, drain and exit."""
-    process.serve(load_settings(settings), logger(console, verbose), capture, verbose)
+    told = load_settings(settings)
+    process.serve(told, logger(console, verbose), capture, verbose, lambda: load_settings(settings))
--- a/eiderstep/engine/circuits.py
+++ b/eiderstep/engine/circuits.py
@@ -37,6 +37,7 @@
         self.busy: dict[int, Owner] = {}
         self.yielded: dict[int, list[Owner]] = {}  # owners that lost a circuit to a claim, latest last
         self.blocked: set[int] = set()
+        self.withdrawn: set[int] = set()  # beyond the group's size by now; no call is cut
         self._ours = [c for c in range(size) if c % 2 == self.parity]
         self._theirs = [-c for c in range(size) if c % 2 != self.parity]
         heapq.heapify(self._theirs)
@@ -132,13 +133,28 @@
 
     def unblock(self, circuits: Iterable[int]) -> None:
         for circuit in circuits:
-            if circuit in self.blocked:
+            if circuit in self.blocked and circuit not in self.withdrawn:
                 self.blocked.discard(circuit)
                 if circuit in self.busy:
                     self._busy_blocked -= 1
                 else:
                     self._list(circuit)
 
+    def resize(self, size: int) -> None:
+        """The group has that many circuits from now on, the lowest numbers.
+
+        Danger: a call on a circuit that goes would be cut.  It keeps it until it ends; the circuit is not
+        seized again.  Hurts where the circuits go in truth before their calls have ended.
+        """
+        for circuit in range(self.total, size):
+            self._list(circuit)
+        self.total = max(self.total, size)
+        back = {c for c in self.withdrawn if c < size}
+        self.withdrawn -= back
+        self.unblock(sorted(back))
+        self.block(c for c in range(size, self.total))
+        self.withdrawn |= set(range(size, self.total))
+
     def owners(self) -> list[Owner]:
         """All that hold circuits, each once, in the order of their circuits."""
         return list({id(o): o for _, o in sorted(self.busy.items(), key=lambda item: item[0])}.values())
--- a/eiderstep/engine/core.py
+++ b/eiderstep/engine/core.py
@@ -109,6 +109,15 @@
             self._measure_link(now, entry.number)
         self.events.append(io.OfficeList(kind, kept))
 
+    def resize(self, now: int, number: int, circuits: int) -> None:
+        """The group toward an exchange has that many circuits from now on; standing calls keep theirs."""
+        ledger = self.ledgers[number]
+        ledger.resize(circuits)
+        self.dirty.add(number)
+        if self.meter is not None:
+            self.meter.resized(now, number, circuits)
+        self._log("info", "group resized", peer=number, circuits=circuits)
+
     def due(self, now: int) -> None:
         """Run what is due."""
         self.transactions.due(now)
--- a/eiderstep/lab/sizing.py
+++ b/eiderstep/lab/sizing.py
@@ -22,6 +22,8 @@
 from eiderstep.lab.script import CallersPart, Day, Fleet, Traffic
 from eiderstep.lab.world import MEASURED, World
 from eiderstep.sizing.bucket import Bucket
+from eiderstep.sizing.estimate import loads
+from eiderstep.sizing.recommend import Advice, advise
 from eiderstep.sizing.store import Store
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -42,6 +44,8 @@
     redials: int = 0
     outages: tuple[Outage, ...] = ()
     profile: Profile = flat
+    target: float = 0.02
+    after: float = 0.0  # seconds more, with the size that the measurements advise
 
 
 @dataclass
@@ -52,12 +56,16 @@
     verdict: Verdict
     left_calls: int
     left_circuits: int
+    advised: Advice | None = None
+    after: list[Bucket] = field(default_factory=list)  # with the advised size
+    cut: int = 0  # calls that were cut
     errors: list[str] = field(default_factory=list)
 
-    def lost(self, cls: int) -> float:
+    @staticmethod
+    def lost(buckets: Sequence[Bucket], cls: int) -> float:
         """The share of first tries that found no circuit."""
-        first = sum(b.classes[cls].first for b in self.buckets)
-        return sum(b.classes[cls].blocked_first for b in self.buckets) / first if first else 0.0
+        first = sum(b.classes[cls].first for b in buckets)
+        return sum(b.classes[cls].blocked_first for b in buckets) / first if first else 0.0
 
 
 def day(case: Case) -> Day:
@@ -86,7 +94,7 @@
     def __init__(self, world: World, case: Case, seed: int) -> None:
         self.world, self.case = world, case
         self.rng = Random(seed)
-        self.over = False
+        self.advised: Advice | None = None
 
     async def run(self) -> None:
         world, case, loop = self.world, self.case, self.world.loop
@@ -102,6 +110,9 @@
             loop.call_at(began + outage.since, world.lose_circuits, 1, 0, outage.share)
             loop.call_at(began + outage.until, world.lose_circuits, 1, 0, 1.0)
         await asyncio.sleep(case.seconds)
+        if case.after:
+            self._install()
+            await asyncio.sleep(case.after)
         for task in tasks:
             task.cancel()
         callers = world.sites[0].callers
@@ -112,6 +123,17 @@
         callers.pump()
         await asyncio.sleep(5.0)
 
+    def _install(self) -> None:
+        """What an operator does: read the measurements, take the advice."""
+        case, world = self.case, self.world
+        assert world.measure is not None
+        store = Store(world.measure / "0.db", read_only=True)
+        widths = [kind.width for kind in case.kinds]
+        found = loads(steady(store.buckets(1), warm(case), case.seconds), len(widths))
+        store.close()
+        self.advised = advise(found, case.circuits, widths, [case.target] * len(widths))
+        world.resize(1, 0, self.advised.circuits)
+
     async def _offer(self, c: int, source: Source, began: float) -> None:
         world, loop = self.world, self.world.loop
         callers, cls = world.sites[0].callers, world.classes()[c]
@@ -148,20 +170,28 @@
             site.server.stop()
             loop.run_until_complete(site.server.stopped)
             store = Store(Path(folder) / "0.db")
-            warm = NEAR * max(kind.hold for kind in case.kinds)
-            buckets = steady(store.buckets(1), warm, case.seconds)
+            every = store.buckets(1)
             store.close()
+            asks = world.sites[0].callers.asks
             cancel_rest(loop)
             return Outcome(
-                buckets, judge(world.captured(), world.facts()), left_calls, left_circuits, list(loop.errors)
-            )
+                steady(every, warm(case), case.seconds), judge(world.captured(), world.facts()), left_calls,
+                left_circuits, driver.advised,
+                steady(every, case.seconds + warm(case), case.seconds + case.after),
+                sum(ask.cut for ask in asks), list(loop.errors),
+            )  # fmt: skip
     finally:
         asyncio.set_event_loop(None)
         loop.close()
 
 
-def steady(buckets: Sequence[Bucket], warm: float, until: float) -> list[Bucket]:
-    """Without the beginning, in which the group fills, and the end, in which nobody calls."""
-    skip = math.ceil(warm * SECOND / MEASURED)
+def warm(case: Case) -> float:
+    """How long the group takes to fill (s)."""
+    return NEAR * max(kind.hold for kind in case.kinds)
+
+
+def steady(buckets: Sequence[Bucket], since: float, until: float) -> list[Bucket]:
+    """Those between two times of the run (s): without the filling of the group, and the end."""
+    skip = math.ceil(since * SECOND / MEASURED)
     last = int(until * SECOND / MEASURED)
     return list(buckets[skip:last])
--- a/eiderstep/lab/world.py
+++ b/eiderstep/lab/world.py
@@ -9,6 +9,8 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from eiderstep.audit import Away, Capture, ColdStart, Facts
 from eiderstep.config.schema import (
     Limits,
@@ -314,6 +316,15 @@
                 if old != exchange.address:
                     neighbour._keep(exchange.address)
 
+    def resize(self, number: int, server: int, circuits: int) -> None:
+        """The group of a stand-in and a call server gets another size, at both ends."""
+        self.exchanges[number].trunks[server].resize(circuits)
+        node = self.sites[server].server
+        assert isinstance(node, CallServer)
+        sizes = {p.number: circuits if p.number == number else p.circuits for p in node.settings.peers}
+        peers = [msgspec.structs.replace(p, circuits=sizes[p.number]) for p in node.settings.peers]
+        node.resize(msgspec.structs.replace(node.settings, peers=peers))
+
     def lose_circuits(self, number: int, server: int, keep: float) -> None:
         """The group of an exchange and a call server keeps this share of its circuits."""
         if number not in self.servers:
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -10,6 +10,8 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from eiderstep import interface as io
 from eiderstep.config.schema import ServerSettings
 from eiderstep.engine import effects as fx
@@ -110,6 +112,20 @@
         self.loop.call_later(self.settings.limits.drain / SECOND + LAST_WORDS, self.end)
         self._flush()
 
+    def resize(self, settings: ServerSettings) -> None:
+        """Sizes of trunk groups from settings that were read anew; all else stays as it was at the start."""
+        if self.engine is None:
+            return
+        before = {peer.number: peer.circuits for peer in self.settings.peers}
+        for peer in settings.peers:
+            if peer.number in before and peer.circuits != before[peer.number]:
+                self.engine.resize(self.now(), peer.number, peer.circuits)
+        self.settings = msgspec.structs.replace(
+            self.settings,
+            peers=[p for p in settings.peers if p.number in before],
+        )
+        self._flush()
+
     def kill(self) -> None:
         """Gone at once, as a killed process is: nothing is answered."""
         self._unfollow()
--- a/eiderstep/server/process.py
+++ b/eiderstep/server/process.py
@@ -6,11 +6,13 @@
 import gc
 import signal
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 import uvloop
 
+from eiderstep.config.load import ConfigError
 from eiderstep.config.schema import ServerSettings
 from eiderstep.server.node import CallServer, Logger
 from eiderstep.server.wire import Trace
@@ -31,12 +33,18 @@
         self.sink.close()
 
 
-def serve(settings: ServerSettings, log: Logger, capture: Path | None, verbose: bool) -> None:
-    """Serve until SIGTERM or SIGINT, then stop in order; a second signal ends the wait."""
+def serve(
+    settings: ServerSettings, log: Logger, capture: Path | None, verbose: bool,
+    reread: Callable[[], ServerSettings],
+) -> None:  # fmt: skip
+    """Serve until SIGTERM or SIGINT, then stop in order; a second signal ends the wait.
+
+    SIGHUP: settings are read anew, and trunk groups take the sizes that they name.
+    """
     trace = CaptureFile(capture, settings.name) if capture is not None else None
 
     async def run() -> None:
-        await _serve(settings, log, trace, verbose)
+        await _serve(settings, log, trace, verbose, reread)
 
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -46,7 +54,10 @@
             trace.close()
 
 
-async def _serve(settings: ServerSettings, log: Logger, trace: Trace | None, verbose: bool) -> None:
+async def _serve(
+    settings: ServerSettings, log: Logger, trace: Trace | None, verbose: bool,
+    reread: Callable[[], ServerSettings],
+) -> None:  # fmt: skip
     loop = asyncio.get_running_loop()
     server = CallServer(loop, settings, log, trace, lambda: int(time.time() * 1000))
     early = False
@@ -61,6 +72,13 @@
         else:
             server.stop()
 
+    def reload() -> None:
+        try:
+            server.resize(reread())
+        except ConfigError as problem:
+            log("error", "settings not read", "", {"why": str(problem)})
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked)
     await server.start()
--- a/eiderstep/sizing/estimate.py
+++ b/eiderstep/sizing/estimate.py
@@ -182,9 +182,10 @@
 
 def judge(
     buckets: Sequence[Bucket], widths: Sequence[int], targets: Sequence[float], redials_told: bool = True,
-    redial: float = 0.0,
+    redial: float = 0.0, names: Sequence[str] = (),
 ) -> Judgement:  # fmt: skip
     """Too small, unlucky, enough, or cannot tell yet."""
+    called = list(names) or [str(c) for c in range(len(widths))]
     found = loads(buckets, len(widths), redials_told, redial)
     circuits = buckets[-1].circuits if buckets else 0
     measured: list[float | None] = []
@@ -208,18 +209,19 @@
     small = [c for c in seen if expected[c][0] > targets[c]]
     if small:
         c = max(small, key=lambda k: expected[k][0] / targets[k])
-        text = f"class {c} loses {expected[c][0]:.3f} even at the low end of its load; wanted {targets[c]:g}"
+        at_least = f"{expected[c][0]:.3f} even at the low end of its load"
+        text = f"class {called[c]} loses {at_least}; wanted {targets[c]:g}"
         return Judgement(Verdict.TOO_SMALL, text, expected, measured, None, found)
     wide = [c for c in seen if expected[c][2] > targets[c]]
     if wide:
         hours = _hours_more(found, widths, targets, circuits, peaked, sum(b.length for b in good) / HOUR)
         c = max(wide, key=lambda k: expected[k][2] / targets[k])
-        text = f"class {c} loses {expected[c][0]:.3f} to {expected[c][2]:.3f}; wanted {targets[c]:g}"
+        text = f"class {called[c]} loses {expected[c][0]:.3f} to {expected[c][2]:.3f}; wanted {targets[c]:g}"
         return Judgement(Verdict.CANNOT_TELL, text, expected, measured, hours, found)
     luck = [c for c in seen if (measured[c] or 0.0) > targets[c]]
     if luck:
         c = luck[0]
-        text = f"class {c} lost {measured[c]:.3f}, but its load makes {expected[c][2]:.3f} at most"
+        text = f"class {called[c]} lost {measured[c]:.3f}, but its load makes {expected[c][2]:.3f} at most"
         return Judgement(Verdict.UNLUCKY, text, expected, measured, None, found)
     return Judgement(Verdict.ENOUGH, "at the high end of every load", expected, measured, None, found)
 
--- a/eiderstep/sizing/store.py
+++ b/eiderstep/sizing/store.py
@@ -35,9 +35,17 @@
 class Store:
     """One file.  Raises OSError or sqlite3.Error where it cannot be had at all."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, read_only: bool = False) -> None:
+        """`read_only`: beside the call server that writes it; a damaged file is then an error and stays."""
         self.path = path
         self.put_aside: Path | None = None
+        if read_only:
+            self.db = sqlite3.connect(f"{path.absolute().as_uri()}?mode=ro", uri=True, isolation_level=None)
+            (said,) = self.db.execute("PRAGMA quick_check").fetchone()
+            if said != "ok":
+                self.db.close()
+                raise sqlite3.DatabaseError(said)
+            return
         try:
             self.db = self._open()
         except sqlite3.DatabaseError as problem:
--- a/eiderstep/standin/exchange.py
+++ b/eiderstep/standin/exchange.py
@@ -60,11 +60,15 @@
         self.size, self.blocked = size, set[int]()
         self.busy: dict[int, object] = {}
         self.below: dict[int, list[object]] = {}  # holders that yielded, until they are done themselves
-        even = own > neighbour  # ITU-T Q.764, 2.9.1.4
+        self.even = own > neighbour  # ITU-T Q.764, 2.9.1.4
+        self.resize(size)
+
+    def resize(self, size: int) -> None:
+        """That many circuits from now on; calls on others keep theirs until they end."""
+        self.size, even = size, self.even
         self.order = sorted(
             range(size), key=lambda c: ((c % 2 == 0) != even, c if (c % 2 == 0) == even else -c)
         )
-        self.even = even
 
     def controls(self, circuit: int) -> bool:
         return (circuit % 2 == 0) == self.even
--- a/tests/test_circuits.py
+++ b/tests/test_circuits.py
@@ -20,7 +20,8 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["seize", "claim", "release", "block", "unblock", "leave"]), st.integers(0, 10**6)
+        st.sampled_from(["seize", "claim", "release", "block", "unblock", "leave", "resize"]),
+        st.integers(0, 10**6),
     ),
     max_size=120,
 )
@@ -58,10 +59,14 @@
             ledger.block(circuits)
         elif what == "unblock":
             ledger.unblock(circuits)
-        usable = [c for c in range(size) if c not in ledger.busy and c not in ledger.blocked]
-        assert ledger.free == len(usable) and ledger.size == size - len(ledger.blocked)
+        elif what == "resize":
+            size = pick % 14
+            ledger.resize(size)
+            assert all(c < size for c in range(ledger.total) if c not in ledger.blocked)
+        usable = [c for c in range(ledger.total) if c not in ledger.busy and c not in ledger.blocked]
+        assert ledger.free == len(usable) and ledger.size == ledger.total - len(ledger.blocked)
         assert set(usable) <= ledger._listed, "a free circuit that nobody can find"
-        assert len(ledger._ours) + len(ledger._theirs) <= size, "the lists do not grow"
+        assert len(ledger._ours) + len(ledger._theirs) <= ledger.total, "the lists do not grow"
     for holder in holders:
         ledger.release(holder.circuits, holder)
     ledger.unblock(list(ledger.blocked))
@@ -69,6 +74,23 @@
     assert len(ledger.seize(size, Holder())) == size if size else True
 
 
+def test_a_group_that_shrinks_keeps_its_calls_and_takes_no_new_ones_there() -> None:
+    ledger = Ledger(6, 5, 3)
+    holders = [Holder() for _ in range(3)]
+    for holder in holders:
+        holder.circuits = ledger.seize(2, holder)
+    ledger.resize(3)
+    assert (ledger.size, ledger.free) == (3, 0) and len(ledger.busy) == 6, "nobody is cut"
+    for holder in holders:
+        ledger.release(holder.circuits, holder)
+    assert ledger.free == 3 and sorted(ledger.seize(3, Holder())) == [0, 1, 2]
+    ledger.unblock(range(6))
+    assert ledger.size == 3, "the far end's word on blocking does not bring back what has gone"
+    ledger.resize(9)
+    assert (ledger.size, ledger.free) == (9, 6)
+    assert sorted(ledger.seize(6, Holder())) == [3, 4, 5, 6, 7, 8]
+
+
 def test_one_that_yielded_gets_its_circuit_back() -> None:
     # Danger: claimed and given back, the circuit was free here while the far end had taken our set-up.
     ledger = Ledger(2, 1, 3)  # the far end, of the higher number, controls the even circuit
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import itertools
+import json
 import math
 import sqlite3
 from fractions import Fraction
@@ -13,7 +14,9 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from typer.testing import CliRunner
 
+from eiderstep.cli import app
 from eiderstep.lab import sizing as lab
 from eiderstep.lab.arrivals import Kind, Outage, Redials, daily, play
 from eiderstep.sizing import erlang, mixed, network, overflow
@@ -458,3 +461,57 @@
     judged = judge(outcome.buckets, [k.width for k in case.kinds], [0.02])
     assert judged.verdict in (Verdict.TOO_SMALL, Verdict.CANNOT_TELL)
     assert any(b.censored for b in outcome.buckets) == bool(case.outages)
+
+
+@pytest.mark.parametrize("circuits", [4, 30])
+def test_the_advised_size_is_installed_while_calls_stand(circuits: int) -> None:
+    """A growing and a shrinking group: no call is cut, no circuit left, the rules kept."""
+    case = lab.Case("resized", (Kind(6, hold=3),), circuits, 240, after=150)
+    outcome = lab.run(case, 4)
+    assert outcome.verdict.kept and not (outcome.left_calls or outcome.left_circuits or outcome.errors)
+    assert outcome.advised is not None and 9 <= outcome.advised.circuits <= 13 and not outcome.cut
+    assert {b.circuits for b in outcome.after} == {outcome.advised.circuits}
+    assert outcome.lost(outcome.after, 0) < 0.08
+
+
+SITE = """
+number = 0
+listen = "127.0.0.1:0"
+context = "midlands"
+classes = [call_class(name = "a", aim = s(1), give_up = s(9), mean_hold = s(100))]
+peers = [peer(number = n, address = "127.0.0.1:%d" % (7000 + n), circuits = 10) for n in (1, 2)]
+dial_plan = [route(prefix = "1", exchange = 1)]
+sizing = sizing(store = "{store}", target = 0.02, module = 6)
+"""
+
+
+def test_the_commands_read_beside_the_server_and_write_nothing(tmp_path: Path) -> None:
+    path, site = tmp_path / "m.db", tmp_path / "site.star"
+    site.write_text(SITE.replace("{store}", str(path)))
+    runner = CliRunner()
+    empty = runner.invoke(app, ["size", "measure", str(site)])
+    assert empty.exit_code == 2 and "has the call server run" in empty.output
+    store = Store(path)
+    for h in range(48):
+        store.add([(1, bucket(h, 360, 90)), (2, bucket(h, 30))])
+    before = store.buckets(1)
+    told = json.loads(runner.invoke(app, ["size", "recommend", str(site), "--json"]).output)
+    assert [g["verdict"] for g in told] == ["too small", "enough"]
+    assert told[0]["advised"]["circuits"] == 18 and told[0]["advised"]["cost"] == 8
+    lines = runner.invoke(app, ["size", "explain", str(site), "1"]).output
+    assert "load 10.00 erlangs" in lines and "Erlang B(10, 10.00) = 0.2146" in lines
+    tried = runner.invoke(app, ["size", "what-if", str(site), "1", "17", "--factor", "0.5"]).output
+    assert "17" in tried and "0.0184" in tried, "five erlangs on ten circuits"
+    wrong = runner.invoke(app, ["size", "explain", str(site), "7"])
+    assert wrong.exit_code == 2 and "allowed: 1, 2" in wrong.output
+    page = tmp_path / "page.html"
+    assert runner.invoke(app, ["size", "report", str(site), "--out", str(page)]).exit_code == 0
+    text = page.read_text()
+    assert text.count("data:image/png;base64,") == 2 and "too small" in text and "http" not in text
+    assert store.buckets(1) == before
+    store.close()
+    path.write_bytes(b"no database" * 500)
+    damaged = runner.invoke(app, ["size", "measure", str(site)])
+    said = " ".join(damaged.output.replace("\u2502", " ").split())
+    assert damaged.exit_code == 2 and "cannot be read: file is not a database" in said
+    assert path.exists() and len(list(tmp_path.glob("m.db.damaged*"))) == 0, "a reader puts nothing aside"
