Sizing: overflow of other pairs counts, all blocked is too small, the meter's share in the bench

A group that carried mostly overflow looked far too large for its own calls, and one whose every try was blocked looked empty: what other pairs send is reckoned with, and no standing call means no figure but the verdict. Tests of both.

--- a/eiderstep/lab/bench.py
+++ b/eiderstep/lab/bench.py
@@ -10,6 +10,7 @@
 import gc
 import os
 import platform
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -20,11 +21,12 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import uvloop
 from hdrh.histogram import HdrHistogram
 
 from eiderstep.config.dump import dump
-from eiderstep.config.schema import CallClass, Peer, Route, Rules, ServerSettings
+from eiderstep.config.schema import CallClass, Peer, Route, Rules, ServerSettings, Sizing
 from eiderstep.lab.load import Load
 from eiderstep.sip import parser
 
@@ -172,6 +174,7 @@
     from eiderstep.server.node import CallServer
     from eiderstep.sip.parser import Parser
     from eiderstep.sip.transaction import Transactions
+    from eiderstep.sizing.meter import Meter
 
     spent: dict[str, float] = {}
     stack: list[list[float]] = []
@@ -196,18 +199,22 @@
     answerers = Child("-m", "eiderstep.lab.load", "answerers", str(peers))
     ports = [int(p) for p in answerers.first_line.split()]
     child = None
+    folder = tempfile.mkdtemp()
     for owner, name, label in (
         (Controller, "handle", "module"), (Parser, "feed", "parser"), (Engine, "message", "engine"),
         (Engine, "flush", "engine"), (Engine, "due", "engine"), (Transactions, "receive", "transactions"),
         (Transactions, "send", "transactions"), (Transactions, "respond", "transactions"),
-        (CallServer, "came", "server"),
+        (CallServer, "came", "server"), (Meter, "tried", "meter"), (Meter, "stands", "meter"),
+        (Meter, "ended", "meter"), (Meter, "level", "meter"), (Meter, "blocked", "meter"),
+        (Meter, "refused", "meter"), (Meter, "gave_up", "meter"), (Meter, "roll", "meter"),
     ):  # fmt: skip
         timed(owner, name, label)
 
     async def run() -> float:
         nonlocal child
         loop = asyncio.get_running_loop()
-        server = CallServer(loop, settings(ports, 1000), lambda *_: None)
+        measured = msgspec.structs.replace(settings(ports, 1000), sizing=Sizing(store=f"{folder}/meter.db"))
+        server = CallServer(loop, measured, lambda *_: None)
         await server.start()
         child = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "eiderstep.lab.bench", server.address, str(peers), str(seconds)
@@ -221,6 +228,7 @@
             whole = runner.run(run())
     finally:
         answerers.end()
+        shutil.rmtree(folder)
     result = {label: part / whole for label, part in sorted(spent.items())}
     result["sockets and loop"] = max(1 - sum(result.values()), 0.0)
     return result
@@ -291,8 +299,6 @@
         f"import json; from eiderstep.lab.bench import shares; print(json.dumps(shares({peers}, {seconds})))"
     )
     said = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
-    import msgspec
-
     return msgspec.json.decode(said.stdout.splitlines()[-1], type=dict[str, float])
 
 
--- a/eiderstep/sizing/estimate.py
+++ b/eiderstep/sizing/estimate.py
@@ -72,6 +72,7 @@
     measured: list[float | None]
     hours_more: float | None = None
     loads: list[Load] = field(default_factory=list)
+    others: list[Stream] = field(default_factory=list)  # what other pairs send over the group
 
 
 def loads(
@@ -165,19 +166,43 @@
     return max(float((odd**2).mean() / 1.5 / scaled.mean()), 1.0)
 
 
-def blocking(circuits: int, found: Sequence[float], widths: Sequence[int], peaked: float) -> list[float]:
-    """Each class's blocking at these loads, Hayward's scaling where arrivals are peaked."""
+def blocking(
+    circuits: int, found: Sequence[float], widths: Sequence[int], peaked: float, extra: Sequence[Stream] = ()
+) -> list[float]:  # fmt: skip
+    """Each class's blocking at these loads, Hayward's scaling where arrivals are peaked.
+
+    `extra`: what other pairs send over the group.
+    """
     if circuits <= 0:
         return [1.0 if a > 0 else 0.0 for a in found]
-    streams = [Stream(a, w) for a, w in zip(found, widths, strict=True)]
+    streams = [*(Stream(a, w) for a, w in zip(found, widths, strict=True)), *extra]
     if peaked <= PEAKED:
-        return mixed.blocking(circuits, streams)
+        return mixed.blocking(circuits, streams)[: len(widths)]
     scaled = [Stream(s.load / peaked, s.width) for s in streams]
     size = circuits / peaked
     below, above = math.floor(size), math.ceil(size)
     lower, upper = mixed.blocking(below, scaled), mixed.blocking(above, scaled)
     part = size - below
-    return [x ** (1 - part) * y**part if x > 0 and y > 0 else y for x, y in zip(lower, upper, strict=True)]
+    both = [x ** (1 - part) * y**part if x > 0 and y > 0 else y for x, y in zip(lower, upper, strict=True)]
+    return both[: len(widths)]
+
+
+def others(buckets: Sequence[Bucket], widths: Sequence[int], found: Sequence[Load]) -> list[Stream]:
+    """What other pairs send over the group, by class: their tries times the holding time of our own calls.
+
+    Danger: a group that carries mostly overflow looks far too large for its own calls.  Tries that found no
+    circuit here were not sent here and are not seen: what is reckoned with is what came.
+    """
+    good = [b for b in buckets if not b.censored]
+    span = sum(b.length for b in good) / SECOND
+    known = [x.hold for x in found if x.hold]
+    streams = []
+    for c, width in enumerate(widths):
+        tries = sum(b.classes[c].for_others for b in good if len(b.classes) > c)
+        hold = found[c].hold or (sum(known) / len(known) if known else 0.0)
+        if span and tries and hold:
+            streams.append(Stream(tries / span * hold, width))
+    return streams
 
 
 def judge(
@@ -194,8 +219,8 @@
         tries = sum(b.classes[c].first for b in good if len(b.classes) > c)
         lost = sum(b.classes[c].blocked_first for b in good if len(b.classes) > c)
         measured.append(lost / tries if tries else None)
-    peaked = peakedness(found)
     found = [replace(x, high=min(x.high, MOST)) for x in found]  # of a class never seen it may be endless
+    peaked, extra = peakedness(found), others(buckets, widths, found)
     curves = [
         blocking(circuits, [getattr(x, name) for x in found], widths, peaked)
         for name in ("low", "load", "high")
@@ -205,25 +230,35 @@
     if not seen:
         span = sum(b.length for b in good) / HOUR
         text = "every bucket was censored" if buckets and not good else "too few calls"
-        return Judgement(Verdict.CANNOT_TELL, text, expected, measured, max(span, 1.0), found)
+        return Judgement(Verdict.CANNOT_TELL, text, expected, measured, max(span, 1.0), found, extra)
+    dark = [c for c in seen if not found[c].hold]
+    if dark:
+        c = dark[0]
+        if measured[c] == 1.0:
+            text = f"class {called[c]}: none of {found[c].seen} first tries found a circuit"
+            return Judgement(Verdict.TOO_SMALL, text, expected, measured, None, found, extra)
+        text = f"class {called[c]}: no call has ended yet"
+        return Judgement(Verdict.CANNOT_TELL, text, expected, measured, None, found, extra)
     small = [c for c in seen if expected[c][0] > targets[c]]
     if small:
         c = max(small, key=lambda k: expected[k][0] / targets[k])
         at_least = f"{expected[c][0]:.3f} even at the low end of its load"
         text = f"class {called[c]} loses {at_least}; wanted {targets[c]:g}"
-        return Judgement(Verdict.TOO_SMALL, text, expected, measured, None, found)
+        return Judgement(Verdict.TOO_SMALL, text, expected, measured, None, found, extra)
     wide = [c for c in seen if expected[c][2] > targets[c]]
     if wide:
-        hours = _hours_more(found, widths, targets, circuits, peaked, sum(b.length for b in good) / HOUR)
+        hours = _hours_more(
+            found, widths, targets, circuits, peaked, extra, sum(b.length for b in good) / HOUR
+        )
         c = max(wide, key=lambda k: expected[k][2] / targets[k])
         text = f"class {called[c]} loses {expected[c][0]:.3f} to {expected[c][2]:.3f}; wanted {targets[c]:g}"
-        return Judgement(Verdict.CANNOT_TELL, text, expected, measured, hours, found)
+        return Judgement(Verdict.CANNOT_TELL, text, expected, measured, hours, found, extra)
     luck = [c for c in seen if (measured[c] or 0.0) > targets[c]]
     if luck:
         c = luck[0]
         text = f"class {called[c]} lost {measured[c]:.3f}, but its load makes {expected[c][2]:.3f} at most"
-        return Judgement(Verdict.UNLUCKY, text, expected, measured, None, found)
-    return Judgement(Verdict.ENOUGH, "at the high end of every load", expected, measured, None, found)
+        return Judgement(Verdict.UNLUCKY, text, expected, measured, None, found, extra)
+    return Judgement(Verdict.ENOUGH, "at the high end of every load", expected, measured, None, found, extra)
 
 
 def peakedness(found: Sequence[Load]) -> float:
@@ -241,7 +276,7 @@
 
 def _hours_more(
     found: Sequence[Load], widths: Sequence[int], targets: Sequence[float], circuits: int, peaked: float,
-    hours: float,
+    extra: Sequence[Stream], hours: float,
 ) -> float | None:  # fmt: skip
     """How much longer until the interval leaves the target, if the load stays where it seems to be.
 
@@ -251,8 +286,8 @@
         root = math.sqrt(times)
         low = [x.load - (x.load - x.low) / root for x in found]
         high = [x.load + (x.high - x.load) / root for x in found]
-        at_low = blocking(circuits, low, widths, peaked)
-        at_high = blocking(circuits, high, widths, peaked)
+        at_low = blocking(circuits, low, widths, peaked, extra)
+        at_high = blocking(circuits, high, widths, peaked, extra)
         if all(b <= t for b, t in zip(at_high, targets, strict=True)):
             return hours * (times - 1)
         if any(b > t for b, t in zip(at_low, targets, strict=True)):
--- a/eiderstep/sizing/recommend.py
+++ b/eiderstep/sizing/recommend.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from eiderstep.sizing.estimate import Load, blocking, peakedness
+from eiderstep.sizing.mixed import Stream
 
 MOST = 20_000
 
@@ -26,7 +27,8 @@
 
 
 def circuits_for(
-    loads: Sequence[float], widths: Sequence[int], targets: Sequence[float], peaked: float, module: int = 1
+    loads: Sequence[float], widths: Sequence[int], targets: Sequence[float], peaked: float, module: int = 1,
+    extra: Sequence[Stream] = (),
 ) -> int:  # fmt: skip
     """The fewest circuits, in whole modules, at which each class that has a load meets its target.
 
@@ -37,10 +39,10 @@
             raise ValueError(f"target of class {c}: found {target}; allowed: above 0, below 1")
     if not any(loads):
         return 0
-    offered = sum(a * w for a, w in zip(loads, widths, strict=True))
+    offered = sum(a * w for a, w in zip(loads, widths, strict=True)) + sum(s.load * s.width for s in extra)
 
     def fits(size: int) -> bool:
-        lost = blocking(size, loads, widths, peaked)
+        lost = blocking(size, loads, widths, peaked, extra)
         return all(x <= t for x, t, a in zip(lost, targets, loads, strict=True) if a > 0)
 
     step, n = max(int(offered / 4), 1), max(widths)
@@ -59,20 +61,20 @@
 
 def advise(
     found: Sequence[Load], circuits: int, widths: Sequence[int], targets: Sequence[float], module: int = 1,
-    price: float = 1.0,
+    price: float = 1.0, extra: Sequence[Stream] = (),
 ) -> Advice:  # fmt: skip
     """For one group.  `circuits`: what it has now; `price` of a circuit."""
     peaked = peakedness(found)
     middle = [x.load for x in found]
-    size = circuits_for(middle, widths, targets, peaked, module)
-    low = circuits_for([x.low for x in found], widths, targets, peaked, module)
-    high = circuits_for([min(x.high, 1e5) for x in found], widths, targets, peaked, module)
+    size = circuits_for(middle, widths, targets, peaked, module, extra)
+    low = circuits_for([x.low for x in found], widths, targets, peaked, module, extra)
+    high = circuits_for([min(x.high, 1e5) for x in found], widths, targets, peaked, module, extra)
 
     def leaves(n: int) -> float:
-        lost = blocking(n, middle, widths, peaked)
+        lost = blocking(n, middle, widths, peaked, extra)
         return sum(a * w * b for a, w, b in zip(middle, widths, lost, strict=True))
 
     return Advice(
-        size, low, high, blocking(size, middle, widths, peaked), price * (size - circuits), leaves(circuits),
-        leaves(size),
+        size, low, high, blocking(size, middle, widths, peaked, extra), price * (size - circuits),
+        leaves(circuits), leaves(size),
     )  # fmt: skip
--- a/eiderstep/sizing/summary.py
+++ b/eiderstep/sizing/summary.py
@@ -55,8 +55,10 @@
     service = sum(b.in_service for b in used)
     circuits = buckets[-1].circuits if buckets else 0
     advice = None
-    if any(x.seen for x in found.loads):
-        advice = advise(found.loads, circuits, wanted.widths, wanted.targets, wanted.module, wanted.price)
+    if any(x.seen for x in found.loads) and all(x.hold or not x.seen for x in found.loads):
+        advice = advise(
+            found.loads, circuits, wanted.widths, wanted.targets, wanted.module, wanted.price, found.others
+        )
     return Group(
         number, circuits, span / HOUR,
         sum(b.length for b in used if b.censored) / span if span else 0.0,
@@ -97,7 +99,9 @@
     rows = []
     for size in sizes:
         low, middle, high = (
-            blocking(size, [getattr(x, name) for x in found], wanted.widths, group.peaked)
+            blocking(
+                size, [getattr(x, name) for x in found], wanted.widths, group.peaked, group.judgement.others
+            )
             for name in ("low", "load", "high")
         )
         rows.append((size, low, middle, high))
@@ -141,6 +145,8 @@
             f"  {lost} first tries found no circuit ({_share(found.measured[c])}); expected at this size "
             f"{middle:.4f}, {low:.4f} to {high:.4f}; wanted {wanted.targets[c]:g}"
         )
+    for stream in found.others:
+        lines.append(f"other pairs send {stream.load:.2f} erlangs of width {stream.width} over it")
     if group.peaked > 1.0:
         lines.append(
             f"peakedness {group.peaked:.2f}" + (", by Hayward's scaling" if group.peaked > 1.2 else "")
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -7,6 +7,7 @@
 import json
 import math
 import sqlite3
+from dataclasses import replace
 from fractions import Fraction
 from pathlib import Path
 from random import Random
@@ -27,6 +28,7 @@
 from eiderstep.sizing.network import Network, pair
 from eiderstep.sizing.recommend import advise, circuits_for
 from eiderstep.sizing.store import Store
+from eiderstep.sizing.summary import Wanted, explain, summarize
 
 SECOND = 1_000_000_000
 HOUR = 3600 * SECOND
@@ -305,6 +307,31 @@
     assert found.verdict is Verdict.TOO_SMALL, "the load is there, whoever turned it away"
 
 
+def test_all_blocked_is_too_small_and_gives_no_figure() -> None:
+    counts = Counts(first=50, blocked_first=50)
+    buckets = [Bucket(h * HOUR, HOUR, 2, 0, 2 * HOUR, classes=(counts,)) for h in range(4)]
+    found = summarize(1, buckets, Wanted(["wide"], [3], [0.02]))
+    assert found.judgement.verdict is Verdict.TOO_SMALL and "none of 200" in found.judgement.why
+    assert found.advice is None, "how long its calls stand nobody has seen"
+    young = judge([Bucket(0, HOUR, 9, 0, 9 * HOUR, classes=(Counts(first=9),))], [1], [0.02])
+    assert young.verdict is Verdict.CANNOT_TELL and "ended" in young.why
+
+
+def test_a_group_that_carries_mostly_overflow_is_sized_with_it() -> None:
+    def hour(h: int, others: int) -> Bucket:
+        own = bucket(h, 36)
+        return replace(own, classes=(replace(own.classes[0], for_others=others),))
+
+    alone = summarize(1, [hour(h, 0) for h in range(24)], Wanted(["a"], [1], [0.02]))
+    loaded = summarize(1, [hour(h, 360) for h in range(24)], Wanted(["a"], [1], [0.02]))
+    assert alone.advice is not None and loaded.advice is not None
+    assert alone.advice.circuits == circuits_for([1.0], [1], [0.02], 1.0)
+    assert loaded.advice.circuits == circuits_for([11.0], [1], [0.02], 1.0)
+    assert any(
+        "other pairs send 10.00 erlangs" in line for line in explain(loaded, Wanted(["a"], [1], [0.02]))
+    )
+
+
 def test_an_outage_in_the_busy_hour_is_filled_in_from_other_days() -> None:
     def day(number: int, censored: bool) -> list[Bucket]:
         more = {"in_service": 2 * HOUR} if censored else {}
