--- a/eiderstep/lab/trials.py
+++ b/eiderstep/lab/trials.py
@@ -34,7 +34,8 @@
     rate = sum(k.load / k.hold for k in kinds)
     seconds = min(max(BEFORE / rate, 60 * HOLD), LONGEST)
     cut = (Outage(seconds * 0.5, seconds * 0.7, 0.4, 0.6),) if outage else ()
-    return Case(name, tuple(kinds), circuits, seconds, redials, cut, after=min(max(AFTER / rate, 60 * HOLD), LONGEST))
+    after = min(max(AFTER / rate, 60 * HOLD), LONGEST)
+    return Case(name, tuple(kinds), circuits, seconds, redials, cut, after=after)
 
 
 def cases() -> list[Case]:
