--- a/eiderstep/sizing/estimate.py
+++ b/eiderstep/sizing/estimate.py
@@ -35,6 +35,7 @@
 DAY_HOURS = 24
 COVER = 0.90  # of the intervals
 MOST = 1e5  # erlangs that are reckoned with
+WINDOW = 8  # holding times: the span over which arrivals are looked at for bursts
 FEWEST = 5  # calls seen, under which nothing is said
 PEAKED = 1.2  # index of dispersion above which arrivals are taken for peaked
 
@@ -99,7 +100,7 @@
     if not redials_told and redial:
         circuits = good[-1].circuits
         load = first_tries(circuits, load, redial)
-    spread = dispersion([k.first for k in counted], [b.length for b in good])
+    spread = dispersion(*_spans([k.first for k in counted], [b.length for b in good], WINDOW * hold))
     # The relative variance of rate times hold: counts are spread as the dispersion says, holds as measured.
     squares = sum(k.hold_squared for k in counted) / held
     mean = sum(k.hold for k in counted) / held / SECOND
@@ -148,6 +149,24 @@
     return load * low, load * high
 
 
+def _spans(counts: Sequence[int], lengths: Sequence[int], least: float) -> tuple[list[int], list[int]]:
+    """Neighbouring counts joined to spans of at least so many seconds.
+
+    Danger: in a bucket shorter than the bursts, arrivals look like Poisson traffic, and the group is sized
+    for it.
+    """
+    joined_counts, joined_lengths = [0], [0]
+    for count, length in zip(counts, lengths, strict=True):
+        if joined_lengths[-1] >= least * SECOND:
+            joined_counts.append(0)
+            joined_lengths.append(0)
+        joined_counts[-1] += count
+        joined_lengths[-1] += length
+    if len(joined_counts) > 1 and joined_lengths[-1] < least * SECOND:
+        del joined_counts[-1], joined_lengths[-1]  # what is left over is no span
+    return joined_counts, joined_lengths
+
+
 def dispersion(counts: Sequence[int], lengths: Sequence[int]) -> float:
     """Variance over mean of counts in spans of like length, 1 for Poisson; at least 1 where too few to tell.
 
