The verdict on a group reckons with what other pairs send over it, as the advice does

Found on rereading: the loads of other pairs were worked out and handed to the advice, but not to the blocking that the verdict rests on. A test now fails without it.

--- a/eiderstep/sizing/estimate.py
+++ b/eiderstep/sizing/estimate.py
@@ -241,7 +241,7 @@
     found = [replace(x, high=min(x.high, MOST)) for x in found]  # of a class never seen it may be endless
     peaked, extra = peakedness(found), others(buckets, widths, found)
     curves = [
-        blocking(circuits, [getattr(x, name) for x in found], widths, peaked)
+        blocking(circuits, [getattr(x, name) for x in found], widths, peaked, extra)
         for name in ("low", "load", "high")
     ]
     expected = list(zip(*curves, strict=True))
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -327,6 +327,8 @@
     assert alone.advice is not None and loaded.advice is not None
     assert alone.advice.circuits == circuits_for([1.0], [1], [0.02], 1.0)
     assert loaded.advice.circuits == circuits_for([11.0], [1], [0.02], 1.0)
+    assert alone.judgement.verdict is Verdict.ENOUGH, "ten circuits for one erlang"
+    assert loaded.judgement.verdict is Verdict.TOO_SMALL, "and for eleven, whoever sends them"
     assert any(
         "other pairs send 10.00 erlangs" in line for line in explain(loaded, Wanted(["a"], [1], [0.02]))
     )
