Reread: one list of the settings' exchanges, one rule for a mass loss, dead state out

Written three times: the exchanges that the settings name (engine, server, command), the bounds of a mass loss in the view; twice: the client's times, the closing of links, the birth-death chain beside Roberts' recursion, which is the same. Kept and never read: counters in pace, lease and meter, a failure count of addresses. Behaviour as before.

--- a/eiderstep/cli/registry.py
+++ b/eiderstep/cli/registry.py
@@ -29,8 +29,7 @@
     settings = load_settings(path)
     if settings.registry is None:
         raise typer.BadParameter(f"{path} names no registry; allowed: settings with registry(...)")
-    named = tuple(io.OfficeEntry(p.address, p.number, io.OfficeState.UP, 0, p.zone) for p in settings.peers)
-    return settings, settings.registry, named
+    return settings, settings.registry, settings.named()
 
 
 def _run(what: Coroutine[Any, Any, T]) -> T:
--- a/eiderstep/config/schema.py
+++ b/eiderstep/config/schema.py
@@ -205,6 +205,10 @@
     limits: Limits = Limits()
     seed: Annotated[int, Meta(ge=0, le=2**62, description="0 to 2**62")] = 0
 
+    def named(self) -> tuple[io.OfficeEntry, ...]:
+        """The exchanges that the settings name, in force until a list tells more."""
+        return tuple(io.OfficeEntry(p.address, p.number, io.OfficeState.UP, 0, p.zone) for p in self.peers)
+
     def module(self) -> io.Settings:
         """The same in the module's terms."""
         rules = self.rules
--- a/eiderstep/engine/core.py
+++ b/eiderstep/engine/core.py
@@ -52,12 +52,9 @@
 
     def begin(self, now: int) -> None:
         """Start with the exchanges that the settings name, as last seen: the register tells what is stale."""
-        entries = tuple(
-            io.OfficeEntry(p.address, p.number, io.OfficeState.UP, 0, p.zone) for p in self.settings.peers
-        )
         if self.settings.lines:
             self.effects.append(fx.Dial(self.settings.lines))
-        self.news(now, io.ListKind.REMEMBERED, entries)
+        self.news(now, io.ListKind.REMEMBERED, self.settings.named())
 
     def message(self, now: int, flow: int, item: Message | BadMessage, reliable: bool = True) -> None:
         """A message, or what is wrong with one, from a connection."""
--- a/eiderstep/registry/client.py
+++ b/eiderstep/registry/client.py
@@ -63,8 +63,7 @@
     def link(self, name: str) -> Link:
         if name not in self.links:
             s = self.client.settings
-            times = Times(s.dial / SECOND, s.silence / SECOND, s.whole / SECOND)
-            self.links[name] = Link(self.client.loop, name, times, s.tls, self.client.trace)
+            self.links[name] = Link(self.client.loop, name, Times.of(s), s.tls, self.client.trace)
         return self.links[name]
 
     async def run(self) -> None:
@@ -95,7 +94,6 @@
             client.failed(name, str(problem))
             return self.pace.failed(client.addresses.pick(self.number) != name)
         now = client.now()
-        client.addresses.good(name)
         client.polls[what] += 1
         client.bytes[what] += answer.bytes
         first = self.pace.mismatched == 0  # said once, not at each poll that goes the same way
--- a/eiderstep/registry/http.py
+++ b/eiderstep/registry/http.py
@@ -17,7 +17,7 @@
 
 import httptools
 
-from eiderstep.config.schema import Tls
+from eiderstep.config.schema import Registry, Tls
 
 SECOND = 1_000_000_000
 PIECE = 1 << 15  # bytes read at a time, once unpacked
@@ -43,6 +43,11 @@
     silence: float
     whole: float
 
+    @classmethod
+    def of(cls, settings: Registry) -> Times:
+        """As the settings have them."""
+        return cls(settings.dial / SECOND, settings.silence / SECOND, settings.whole / SECOND)
+
 
 @dataclass
 class Answer:
--- a/eiderstep/registry/lease.py
+++ b/eiderstep/registry/lease.py
@@ -82,7 +82,7 @@
         self.dirty = epoch
         self.failures = 0
         self.due = 0
-        self.renewals = self.registrations = 0
+        self.registrations = 0
 
     @property
     def path(self) -> str:
@@ -122,7 +122,6 @@
             self.state, self.due = Held.DOWN, now
             return
         self.registrations += self.state is Held.NEW
-        self.renewals += self.state is Held.HELD
         self.state = Held.HELD
         self.due = now + int(self.entry.renew * 1e9 * (0.9 + 0.1 * self.rng.random()))
 
--- a/eiderstep/registry/pace.py
+++ b/eiderstep/registry/pace.py
@@ -27,7 +27,6 @@
 class Address:
     """What is known of one address (ns)."""
 
-    failures: int = 0
     failed_at: int = -1
     held_by: int = -1  # the follower that asks it
 
@@ -52,13 +51,9 @@
         self.known[name].held_by = follower
         return name
 
-    def good(self, name: str) -> None:
-        self.known[name].failures = 0
-
     def failed(self, now: int, name: str) -> None:
         """Leave it, if there is another to go to."""
         address = self.known[name]
-        address.failures += 1
         address.failed_at = now
         if any(a.held_by < 0 for a in self.known.values()):
             address.held_by = -1
@@ -73,7 +68,6 @@
         self.full_at = -1  # when the last whole list was taken
         self.table_of = ""  # the address that the table held came from
         self.mismatched = 0
-        self.asked_at = -1
         self.hurried_at = -1
 
     def what(self, now: int, name: str) -> Ask:
--- a/eiderstep/registry/registrant.py
+++ b/eiderstep/registry/registrant.py
@@ -27,7 +27,7 @@
         mine = settings.lease
         host, _, port = address.rpartition(":")
         self.loop, self.settings, self.note, self.epoch = loop, settings, note, epoch
-        times = Times(settings.dial / SECOND, settings.silence / SECOND, settings.whole / SECOND)
+        times = Times.of(settings)
         self.links = [Link(loop, name, times, settings.tls, trace) for name in settings.addresses]
         self.at = 0
         born = epoch()
--- a/eiderstep/registry/survey.py
+++ b/eiderstep/registry/survey.py
@@ -27,7 +27,7 @@
         loop, settings, _nobody, lambda event, fields: notes.append({"event": event, **fields}), Random(1),
         remembered,
     )  # fmt: skip
-    followers = [Follower(client, number) for number in range(len(settings.addresses))]
+    followers = client.followers = [Follower(client, number) for number in range(len(settings.addresses))]
     for follower in followers:
         client.addresses.pick(follower.number)
     await asyncio.gather(*(follower.turn() for follower in followers))
@@ -51,9 +51,6 @@
                 "says": {}, "believed": "GONE" if client.view.whole else "UP", "why": why,
             })  # fmt: skip
     client.stop()
-    for follower in followers:
-        for link in follower.links.values():
-            link.close()
     return {"registries": registries, "exchanges": rows, "notes": notes, "counts": client.view.counts}
 
 
--- a/eiderstep/registry/view.py
+++ b/eiderstep/registry/view.py
@@ -259,7 +259,7 @@
             if one.instance.renewed and one.instance.duration
             and clock - one.instance.renewed > LEASES * one.instance.duration
         }  # fmt: skip
-        if len(over) > self.policy.loss_least and len(over) > self.policy.loss_share * len(listed):
+        if self._most(len(over), len(listed)):
             self._note("leases over for most: the registry hears no renewals", leases=len(over))
             return {}
         return over
@@ -317,6 +317,10 @@
             age = min(age, now - before.seen)
         return max(now - age, 0)
 
+    def _most(self, lost: int, of: int) -> bool:
+        """Whether so many at once are news of the registry rather than of them (rule 4)."""
+        return lost > self.policy.loss_least and lost > self.policy.loss_share * of
+
     # -- departures ----------------------------------------------------------------------------------------
 
     def _leave(self, now: int, name: str, source: Source, left: list[Processor]) -> None:
@@ -339,9 +343,7 @@
             and life.latest.office not in self.told
             for life in self.lives.values()
         )  # fmt: skip
-        losing = len(sudden) + recent
-        most = losing > self.policy.loss_least and losing > self.policy.loss_share * (up + recent)
-        if source.listed and not most:
+        if source.listed and not self._most(len(sudden) + recent, up + recent):
             for one in sudden:
                 self._gone(now, name, one.id)
             return
@@ -434,10 +436,7 @@
             self.first_at = now
         if not self.whole:
             missing = sum(office not in wanted for office in self.remembered)
-            most = missing > self.policy.loss_least and missing > self.policy.loss_share * len(
-                self.remembered
-            )
-            if not most or now - self.first_at >= self.policy.hold:
+            if not self._most(missing, len(self.remembered)) or now - self.first_at >= self.policy.hold:
                 self.whole, self.told = True, wanted
                 return [(ListKind.COMPLETE, self.entries())]
             if not told:
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -407,12 +407,9 @@
             )  # fmt: skip
             self.register.start()
         if settings.registry is not None:
-            named = tuple(
-                io.OfficeEntry(p.address, p.number, io.OfficeState.UP, 0, p.zone) for p in settings.peers
-            )
             self.registry = RegistryClient(
                 self.loop, settings.registry, partial(self._news, "registry"), self._list_note,
-                Random(settings.seed ^ 0xE0EA), named, self.trace,
+                Random(settings.seed ^ 0xE0EA), settings.named(), self.trace,
             )  # fmt: skip
             self.registry.start()
             if settings.registry.lease is not None:
--- a/eiderstep/sizing/meter.py
+++ b/eiderstep/sizing/meter.py
@@ -74,7 +74,7 @@
 
     def __init__(self, groups: Mapping[int, int], classes: int, now: int, window: int = 60 * SECOND) -> None:
         """`window`: a try for a number refused no longer ago than this is a redial (ns)."""
-        self.classes, self.window = classes, window
+        self.window = window
         self.groups = {number: _Group(size, classes, now) for number, size in groups.items()}
         self.refused_at: OrderedDict[tuple[str, int], int] = OrderedDict()
         self.opened = now
--- a/eiderstep/sizing/mixed.py
+++ b/eiderstep/sizing/mixed.py
@@ -1,8 +1,8 @@
 """Calls of several widths on one group, and trunk reservation.
 
 Kaufman (1981) and Roberts (1981): exact for Poisson classes that share a group completely.  With reservation
-the recursion is Roberts' approximation (1983), exact only where all classes hold alike; `reserved` is the
-birth-death chain for two streams of one circuit, exact where both hold equally long.
+the recursion is Roberts' approximation (1983), exact only where all classes hold alike; for two streams of
+one circuit (`reserved`) it is the birth-death chain itself, exact where both hold equally long.
 """
 
 from __future__ import annotations
@@ -51,21 +51,9 @@
     return [float(q[max(n - s.width - s.reserve + 1, 0) :].sum()) for s in streams]
 
 
-def carried(n: int, streams: Sequence[Stream]) -> float:
-    """Circuits busy in the mean."""
-    return float((states(n, streams) * np.arange(n + 1)).sum())
-
-
 def reserved(n: int, direct: float, overflow: float, reserve: int) -> tuple[float, float]:
     """Blocking of direct and of overflow calls, where overflow is let in only with `reserve` left free."""
     if not 0 <= reserve <= n:
         raise ValueError(f"reserve: found {reserve}; allowed: 0 to {n}")
-    p = np.zeros(n + 1)
-    p[0] = 1.0
-    for x in range(1, n + 1):
-        rate = direct + (overflow if x <= n - reserve else 0.0)
-        p[x] = p[x - 1] * rate / x
-        if p[x] > 1e200:
-            p[: x + 1] /= p[x]
-    p /= p.sum()
-    return float(p[n]), float(p[n - reserve :].sum())
+    found = blocking(n, [Stream(direct), Stream(overflow, 1, reserve)])
+    return found[0], found[1]
--- a/eiderstep/sizing/network.py
+++ b/eiderstep/sizing/network.py
@@ -67,7 +67,6 @@
     """The network as arrays, a row and a column an exchange, one layer a class."""
 
     def __init__(self, net: Network) -> None:
-        self.net = net
         self.row = {node: i for i, node in enumerate(net.nodes)}
         size, count = len(self.row), len(net.widths)
         self.groups = [p for p, n in net.circuits.items() if n > 0]
--- a/eiderstep/sizing/overflow.py
+++ b/eiderstep/sizing/overflow.py
@@ -43,9 +43,7 @@
 
     if off(load) == 0:
         return load, circuits(load)
-    for spread in range(
-        1, 150
-    ):  # Rapp's start is near where the overflow is large: widen until it lies between
+    for spread in range(1, 150):  # Rapp's start is near where much overflows: widen until it lies between
         low, high = max(load / 1.03**spread, mean), load * 1.03**spread
         if off(low) * off(high) <= 0:
             found = float(optimize.brentq(off, low, high, xtol=1e-12, rtol=1e-13))
