Thinning passes over what is thinned already; a failed write leaves no transaction open

And an error while thinning left its transaction open, so that every later write failed: both writers go through one.

--- a/eiderstep/cli/size.py
+++ b/eiderstep/cli/size.py
@@ -90,7 +90,7 @@
     """What was measured of each group: loads with intervals, blocking measured and expected."""
     wanted, groups = _read(settings, days, busy_hour)
     if as_json:
-        print(json.dumps([_plain(wanted, g) for g in groups.values()]))
+        _print_json(wanted, groups)
         return
     rows = []
     for group in groups.values():
@@ -128,7 +128,7 @@
     """The verdict on each group and how many circuits it needs."""
     wanted, groups = _read(settings, days, busy_hour)
     if as_json:
-        print(json.dumps([_plain(wanted, g) for g in groups.values()]))
+        _print_json(wanted, groups)
         return
     rows = []
     for group in groups.values():
@@ -218,6 +218,10 @@
     sys.exit(0 if good else 1)
 
 
+def _print_json(wanted: Wanted, groups: dict[int, Group]) -> None:
+    print(json.dumps([_plain(wanted, group) for group in groups.values()]))
+
+
 def _plain(wanted: Wanted, group: Group) -> dict[str, Any]:
     found, a = group.judgement, group.advice
     return {
--- a/eiderstep/sizing/store.py
+++ b/eiderstep/sizing/store.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import sqlite3
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import astuple, fields
 from pathlib import Path
 
@@ -89,12 +90,21 @@
 
     def add(self, closed: Iterable[tuple[int, Bucket]]) -> None:
         """Buckets of one moment, all or none."""
-        self.db.execute("BEGIN")
-        try:
+        with self._whole():
             for group, bucket in closed:
                 self._insert(group, bucket)
+
+    @contextlib.contextmanager
+    def _whole(self) -> Iterator[None]:
+        """All that is written within, or none of it.
+
+        Danger: one that is left open by an error makes every later one fail.
+        """
+        self.db.execute("BEGIN")
+        try:
+            yield
             self.db.execute("COMMIT")
-        except sqlite3.Error:
+        except BaseException:
             self.db.execute("ROLLBACK")
             raise
 
@@ -122,19 +132,21 @@
     def groups(self) -> list[int]:
         return [row[0] for row in self.db.execute("SELECT DISTINCT grp FROM bucket ORDER BY grp")]
 
-    def buckets(self, group: int, since: int = 0, until: int = 2**62) -> list[Bucket]:
-        """A group's buckets, in the order in which they came."""
+    def buckets(
+        self, group: int, since: int = 0, until: int = 2**62, shorter: int = 2**62
+    ) -> list[Bucket]:  # fmt: skip
+        """A group's buckets that begin within and are `shorter` (ns), in the order in which they came."""
         found = self.db.execute(
             "SELECT id, start, length, circuits, busy, in_service, out, full FROM bucket"
-            " WHERE grp = ? AND start >= ? AND start < ? ORDER BY id",
-            (group, since, until),
+            " WHERE grp = ? AND start >= ? AND start < ? AND length < ? ORDER BY id",
+            (group, since, until, shorter),
         ).fetchall()
         counts: dict[int, list[Counts]] = {}
         names = ", ".join(f"c.{name}" for name in COUNTS)
         for row in self.db.execute(
             f"SELECT c.bucket, {names} FROM counts c JOIN bucket b ON b.id = c.bucket"
-            " WHERE b.grp = ? AND b.start >= ? AND b.start < ? ORDER BY c.bucket, c.cls",
-            (group, since, until),
+            " WHERE b.grp = ? AND b.start >= ? AND b.start < ? AND b.length < ? ORDER BY c.bucket, c.cls",
+            (group, since, until, shorter),
         ):
             counts.setdefault(row[0], []).append(Counts(*row[1:]))
         numbers = [f.name for f in fields(Bucket)][:-1]
@@ -156,13 +168,15 @@
         return int(before - after)
 
     def _thin(self, group: int, older: int, span: int) -> None:
+        """Those that fill a span already are passed over: the call server waits for this each hour."""
         ids = [
             row[0] for row in self.db.execute(
-                "SELECT id FROM bucket WHERE grp = ? AND start < ? ORDER BY id", (group, older)
+                "SELECT id FROM bucket WHERE grp = ? AND start < ? AND length < ? ORDER BY id",
+                (group, older, span),
             )
         ]  # fmt: skip
         runs: list[list[tuple[int, Bucket]]] = []
-        for name, bucket in zip(ids, self.buckets(group, 0, older), strict=True):
+        for name, bucket in zip(ids, self.buckets(group, 0, older, span), strict=True):
             last = runs[-1][-1][1] if runs else None
             if (
                 last is not None and last.start // span == bucket.start // span and last.start <= bucket.start
@@ -172,11 +186,10 @@
                 runs[-1].append((name, bucket))
             else:
                 runs.append([(name, bucket)])
-        self.db.execute("BEGIN")
-        for run in runs:
-            if len(run) > 1:
-                self._replace(group, run)
-        self.db.execute("COMMIT")
+        with self._whole():
+            for run in runs:
+                if len(run) > 1:
+                    self._replace(group, run)
 
     def _replace(self, group: int, run: Sequence[tuple[int, Bucket]]) -> None:
         """The joined bucket takes the first one's place in the order."""
