Nobody is believed unproven: who may say what by the link, identities unguessable, ranges bounded

Whoever connected was believed: a stranger's NOTIFY cut all calls of a group, a BYE over any connection ended a call, identities came again after each restart, 4 KB of ranges cost 2.3 s and 1.29 GB.

eiderstep/trust decides without I/O: who is at the other end (address the settings name, link we dialled), and a table of rules with danger and harm for each thing said; 403, or 481 where a 403 would tell that a call exists. Transactions are kept by connection, so responses, CANCELs and ACKs of others find nothing. Identities are 64 random bits of the system in service, the seed's in a lab. Ranges stay ranges. In the lab each exchange and its callers have loopback addresses of their own.

--- a/eiderstep/config/load.py
+++ b/eiderstep/config/load.py
@@ -20,7 +20,7 @@
 # can compute with them; what they hold is checked once, at the end.
 BUILDERS = (
     "call_class", "peer", "route", "cold", "rules", "register", "registry", "tls", "lease", "timers",
-    "sizing",
+    "sizing", "trust", "caller",
     "limits", "trouble", "exchange", "fleet", "traffic", "callers", "expect",
 )  # fmt: skip
 
--- a/eiderstep/config/schema.py
+++ b/eiderstep/config/schema.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_network
 from typing import Annotated
 
 import msgspec
@@ -24,6 +25,9 @@
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$", description="letters, digits and ._-")]
 Prefix = Annotated[str, Meta(pattern=r"^[0-9]{0,32}$", description="up to 32 digits")]
 Address = Annotated[str, Meta(pattern=r"^[^\s]+:[0-9]{1,5}$", description="host:port")]
+Host = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f.:]{2,45}$", description="an IP address")]
+Network = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f.:]{2,45}(/[0-9]{1,3})?$", description="address/bits")]
+Domain = Annotated[str, Meta(pattern=r"^([A-Za-z0-9.-]{1,253})?$", description="a domain name")]
 
 
 class Strict(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -49,6 +53,8 @@
     address: Address
     circuits: Annotated[int, Meta(ge=0, le=65535, description="0 to 65535")]
     zone: Number = 0
+    hosts: list[Host] = []  # from which it connects, beside the host of its address (plain links)
+    identity: Domain = ""  # in its certificate; x<number>.<context> if empty
 
 
 class Route(Strict, frozen=True, kw_only=True):
@@ -151,6 +157,30 @@
     price: Worth = 1.0  # of a circuit
 
 
+class Caller(Strict, frozen=True, kw_only=True):
+    """Who may ask for calls: over plain links from these networks, or with a key that proves the identity."""
+
+    name: Name
+    networks: list[Network] = []
+    identity: Domain = ""
+    marks: bool = True  # whether its words `redialled` and `cut` count
+    advice: bool = False  # whether it may name the tandem of a call
+    classes: list[Name] = []  # those it may ask for; empty: all
+
+
+def own_callers() -> list[Caller]:
+    return [Caller(name="own", networks=["127.0.0.0/8", "::1/128"])]
+
+
+class Trust(Strict, frozen=True, kw_only=True):
+    """Who is believed, and what for."""
+
+    # The own machine's callers, and nobody else's until the settings let them in.
+    callers: list[Caller] = msgspec.field(default_factory=own_callers)
+    plain_exchanges: bool = True  # an exchange is who connects from its address; False: keys alone
+    moves: bool = True  # the list of exchanges may name new addresses for them (plain links)
+
+
 class Timers(Strict, frozen=True, kw_only=True):
     """The base times of RFC 3261 section 17.1.1.1, and the grain of all timers."""
 
@@ -201,6 +231,7 @@
     )
     fallback_after: Length = 5 * SECOND  # how long the main one may fail before the other is believed
     sizing: Sizing | None = None
+    trust: Trust = Trust()
     timers: Timers = Timers()
     limits: Limits = Limits()
     seed: Annotated[int, Meta(ge=0, le=2**62, description="0 to 2**62")] = 0
@@ -266,6 +297,15 @@
     for name in settings.sizing.targets if settings.sizing is not None else ():
         if name not in names:
             return "$.sizing.targets", f"found class {name!r}; allowed: {', '.join(names)}"
+    for i, caller in enumerate(settings.trust.callers):
+        for text in caller.networks:
+            try:
+                ip_network(text, strict=False)
+            except ValueError:
+                return f"$.trust.callers[{i}].networks", f"found {text!r}; allowed: address/bits"
+        for name in caller.classes:
+            if name not in names:
+                return f"$.trust.callers[{i}].classes", f"found {name!r}; allowed: {', '.join(names)}"
     registry = settings.registry
     if registry is not None:
         if len(set(registry.addresses)) < len(registry.addresses):
--- a/eiderstep/engine/circuits.py
+++ b/eiderstep/engine/circuits.py
@@ -168,16 +168,39 @@
                 heapq.heappush(self._theirs, -circuit)
 
 
-def read_ranges(text: str) -> list[int]:
-    """Circuit numbers as `0-3,7`.  Raises ValueError."""
-    found: list[int] = []
+RANGES = 1024  # in one message
+LAST = 65535  # the highest number of a circuit
+
+
+def read_ranges(text: str) -> list[tuple[int, int]]:
+    """Circuit numbers as `0-3,7`: first and last of each range, in order and merged.  Raises ValueError.
+
+    Danger: written out as numbers, 4 KB of `0-65535,0-65535,...` are 30 million of them, seconds and a
+    gigabyte.  Ranges stay ranges; what they cover is bounded by the group's size (`within`).
+    """
+    if len(text) > 16 * RANGES or text.count(",") >= RANGES:
+        raise ValueError(f"over {RANGES} ranges")
+    found: list[tuple[int, int]] = []
     for part in text.split(","):
         low, sep, high = part.strip().partition("-")
+        if not all(n.isascii() and n.isdigit() and len(n) <= 5 for n in (low, high if sep else low)):
+            raise ValueError(f"circuits {part[:20]!r} are no range")
         first, last = int(low), int(high if sep else low)
-        if not 0 <= first <= last <= 65535:
-            raise ValueError(f"circuits {part!r} are no range")
-        found.extend(range(first, last + 1))
-    return found
+        if not first <= last <= LAST:
+            raise ValueError(f"circuits {part[:20]!r} are no range")
+        found.append((first, last))
+    merged: list[tuple[int, int]] = []
+    for first, last in sorted(found):
+        if merged and first <= merged[-1][1] + 1:
+            merged[-1] = (merged[-1][0], max(last, merged[-1][1]))
+        else:
+            merged.append((first, last))
+    return merged
+
+
+def within(ranges: list[tuple[int, int]], size: int) -> set[int]:
+    """The circuits of merged ranges in a group of that size."""
+    return {circuit for first, last in ranges for circuit in range(first, min(last + 1, size))}
 
 
 def write_ranges(circuits: Iterable[int]) -> str:
--- a/eiderstep/engine/core.py
+++ b/eiderstep/engine/core.py
@@ -10,6 +10,7 @@
 
 import heapq
 from collections.abc import Callable
+from random import Random
 from typing import Any, Protocol
 
 from eiderstep import interface as io
@@ -25,6 +26,8 @@
 from eiderstep.sip.message import Message, in_angle, request, response
 from eiderstep.sip.parser import BadMessage
 from eiderstep.sip.transaction import Answer, NewRequest, NoAnswer, State, Transaction
+from eiderstep.trust.party import Party
+from eiderstep.trust.rules import Act, refusal
 
 NEVER = 2**63
 
@@ -50,9 +53,11 @@
 class Engine(Requests):
     """One exchange's calls.  `here` is the `host:port` that goes into Via and Contact."""
 
-    def __init__(self, settings: ServerSettings, here: str, mind: Mind | None = None) -> None:
-        """`mind`: decides in place of the module."""
-        super().__init__(settings, here)
+    def __init__(
+        self, settings: ServerSettings, here: str, mind: Mind | None = None, ids: Random | None = None
+    ) -> None:
+        """`mind`: decides in place of the module.  `ids`: source of identities, the seed's if None."""
+        super().__init__(settings, here, ids)
         decider: Mind = mind or Controller
         self.controller = decider(settings.module(), settings.seed)
         self.offices: dict[str, int] = {}
@@ -69,6 +74,9 @@
 
     def message(self, now: int, flow: int, item: Message | BadMessage, reliable: bool = True) -> None:
         """A message, or what is wrong with one, from a connection."""
+        if refusal(Act.ANYTHING, self.who(flow)):
+            self._stranger(flow, item)
+            return
         if isinstance(item, BadMessage):
             self._bad(flow, item)
             return
@@ -78,9 +86,17 @@
     def link_up(self, now: int, address: str, flow: int) -> None:
         """A connection that we dialled stands."""
         self.links[address] = flow
+        if flow not in self.parties:
+            self.meet(flow, self.at_link(address))
         self._measure_link(now, self.offices.get(address, -1))
         self._log("info", "link up", address=address)
 
+    def at_link(self, address: str) -> Party:
+        """Who answers at an address that we dial over a plain link: the exchange that the list has there."""
+        number = self.offices.get(address, -1)
+        own = self.book.own if address == self.settings.lines else None
+        return Party(frozenset([number] if number >= 0 else []), own, address)
+
     def flow_lost(self, now: int, flow: int) -> None:
         """A connection is lost: what was open on it fails, what stood on it is cut."""
         for address, mine in list(self.links.items()):
@@ -94,6 +110,7 @@
         self._take(now)
         for leg in list(self.on_flow.pop(flow, {})):
             self._cut(now, leg, fields.NETWORK_OUT, lost=True)
+        self.parties.pop(flow, None)
 
     def news(self, now: int, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
         """The register's word.  Entries of exchanges that we share no group with are passed over."""
@@ -109,10 +126,14 @@
                 if entry.office not in self.offices:
                     self.effects.append(fx.Dial(entry.office))
                 self.offices[entry.office] = entry.number
+                flow = self.links.get(entry.office, -1)
+                if flow >= 0 and not self.who(flow).proven:
+                    self.meet(flow, self.at_link(entry.office))  # the address may be another exchange's now
                 if entry.state is io.OfficeState.UP:
                     self.current[entry.number] = entry.office
                     self.told.pop(entry.number, None)
                     self.dirty.add(entry.number)
+        self.book.heard(self.offices)
         for entry in kept if self.meter is not None else ():
             self._measure_link(now, entry.number)
         self.events.append(io.OfficeList(kind, kept))
@@ -332,6 +353,7 @@
                 self._cut(now, owner, fields.TEMPORARY, lost=False)
         elif isinstance(owner, Attempt) and tx is owner.tx:
             was, owner.state = owner.state, AttemptState.OVER
+            self._forget(owner, tx.flow)
             self._free(owner)
             if was in OPEN:
                 # A lost connection is a reset; a transaction that timed out is silence.
@@ -351,6 +373,11 @@
     def _late_success(self, now: int, flow: int, message: Message) -> None:
         """A 2xx of a set-up that is forgotten: acknowledged and released, or it stands there for ever."""
         leg = self.dialogs.get((message.call_id, message.from_tag))
+        ours = leg.dialog.flow if leg is not None and leg.dialog is not None else -1
+        own = flow in (ours, self.forgotten.get((message.call_id, message.from_tag), -1))
+        if refusal(Act.LATE, self.who(flow), own=own):
+            self._count("not believed: 200")
+            return
         target = in_angle(message.get("contact")) or in_angle(message.get("to"))
         invite = Message("INVITE", target, 0, "", dict(message.headers))
         self.out.append((flow, acknowledge(invite, message, self._via(flow)).encode()))
--- a/eiderstep/engine/legs.py
+++ b/eiderstep/engine/legs.py
@@ -21,7 +21,9 @@
 from eiderstep.sip.message import Message, response
 from eiderstep.sip.transaction import State, Times, Transaction, Transactions
 from eiderstep.sizing.meter import Meter
+from eiderstep.trust.party import NOBODY, Book, Party, same
 
+FORGOTTEN = 4096  # set-ups remembered whose far end has never answered
 OPEN = (AttemptState.OUT, AttemptState.CANCELLING)
 
 
@@ -40,10 +42,14 @@
 class Legs:
     """The call table and what stands on it.  `here` is the `host:port` that goes into Via and Contact."""
 
-    def __init__(self, settings: ServerSettings, here: str) -> None:
+    def __init__(self, settings: ServerSettings, here: str, ids: Random | None = None) -> None:
+        """`ids`: where identities come from.
+
+        Danger: identities that can be guessed, or that come again after a restart, let others speak within
+        calls that stand.  In service they are the system's random bits; only a lab draws them from the seed.
+        """
         self.settings, self.here = settings, here
-        self.rng = Random(settings.seed ^ 0x5EED)
-        self.prefix = f"{self.rng.getrandbits(32):08x}"
+        self.ids = ids or Random(settings.seed ^ 0x5EED)
         times = settings.timers
         self.transactions = Transactions(Times(times.t1, times.t2, times.t4))
         self.out = self.transactions.out
@@ -61,11 +67,26 @@
         self.meter: Meter | None = None
         self.counts: dict[str, int] = {}
         self._heap: list[tuple[int, int, Entry]] = []
-        self._ids = self._entries = 0
+        self._entries = 0
+        self.book = Book(settings)
+        self.forgotten: dict[tuple[str, str], int] = {}  # set-ups dropped without a final word, latest last
+        self.parties: dict[int, Party] = {}  # by flow; one that nobody introduced is nobody's
 
     def _id(self) -> str:
-        self._ids += 1
-        return f"{self.prefix}{self._ids:x}"
+        """64 random bits (section 19.3 asks for 32)."""
+        return f"{self.ids.getrandbits(64):016x}"
+
+    def meet(self, flow: int, party: Party) -> None:
+        """Who is at the other end of a flow, before the first message from there."""
+        self.parties[flow] = party
+
+    def who(self, flow: int) -> Party:
+        return self.parties.get(flow, NOBODY)
+
+    def same_peer(self, flow: int, other: int) -> bool:
+        """Whether both flows lead to one far end: the same connection, or an exchange that has dialled anew
+        while its old connection still counts."""
+        return flow == other or same(self.who(flow), self.who(other))
 
     def _via(self, flow: int) -> str:
         transport = "UDP" if flow in self.unreliable else "TCP"
@@ -124,11 +145,19 @@
         if attempt.state is AttemptState.GIVEN_UP and attempt.tx is not None:
             self._count("set-ups never ended")
             self._log("warning", "set-up never ended", attempt.call.name, office=attempt.office)
+            self._forget(attempt, attempt.tx.flow)
             self.transactions.forget(attempt.tx)
             attempt.state = AttemptState.OVER
             self._free(attempt)
             self._tidy(attempt.call)
 
+    def _forget(self, attempt: Attempt, flow: int) -> None:
+        """A set-up without a final word is dropped; a 2xx that comes after all is ended (`_late_success`)."""
+        if attempt.invite is not None:
+            if len(self.forgotten) >= FORGOTTEN:
+                del self.forgotten[next(iter(self.forgotten))]
+            self.forgotten[attempt.invite.call_id, attempt.invite.from_tag] = flow
+
     def _call_off(self, now: int, attempt: Attempt) -> None:
         attempt.pressed = True
         tx = attempt.tx
--- a/eiderstep/engine/requests.py
+++ b/eiderstep/engine/requests.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
+from random import Random
 
 from eiderstep import interface as io
 from eiderstep.config.schema import ServerSettings
 from eiderstep.engine import effects as fx
 from eiderstep.engine import mapping, offers
 from eiderstep.engine.calls import Attempt, AttemptState, Call, CallState
-from eiderstep.engine.circuits import read_ranges
+from eiderstep.engine.circuits import read_ranges, within
 from eiderstep.engine.legs import Legs
 from eiderstep.sip import fields
 from eiderstep.sip.message import Message, response
 from eiderstep.sip.parser import BadMessage
 from eiderstep.sip.transaction import Transaction
+from eiderstep.trust.rules import Act, refusal
 
 TRYING_AFTER = 200_000_000  # ns, section 17.2.1
 
@@ -22,8 +25,8 @@
 class Requests(Legs):
     """The side of the engine that callers and far ends speak to."""
 
-    def __init__(self, settings: ServerSettings, here: str) -> None:
-        super().__init__(settings, here)
+    def __init__(self, settings: ServerSettings, here: str, ids: Random | None = None) -> None:
+        super().__init__(settings, here, ids)
         self.reader = offers.Reader(settings)
         self.links: dict[str, int] = {}
         self.stopping = False
@@ -43,6 +46,37 @@
         if problem.fatal:
             self.effects.append(fx.CloseFlow(flow, problem.text))
 
+    def _stranger(self, flow: int, item: Message | BadMessage) -> None:
+        """Nobody: a request is answered without any state (section 8.2.7), all else falls away.
+
+        Danger: a transaction for each message of a stranger would hold memory for 64 x T1, and a log line
+        for each fill the disk.  Hurts an honest sender that the settings do not name: all it gets is a 403.
+        """
+        self._count("strangers")
+        message = item.message if isinstance(item, BadMessage) else item
+        self._log("warning", "stranger refused", flow=flow, method=message.method[:20] if message else "")
+        if message is not None and message.method not in ("", "?", "ACK") and "via" in message.headers:
+            self.out.append((flow, response(message, 403, self._id()).encode()))
+        if isinstance(item, BadMessage) and item.fatal:
+            self.effects.append(fx.CloseFlow(flow, item.text))
+
+    def _demand(self, act: Act, flow: int, about: int = -1, own: bool = False, what: str = "") -> None:
+        """Raises Unfit where the rules of trust forbid it."""
+        rule = refusal(act, self.who(flow), about, own)
+        if rule is not None:
+            what = what or act.name.lower()
+            self._count(f"not believed: {what}")
+            said = "no such call" if act is Act.WITHIN else f"{what} from {self.who(flow)}"
+            raise offers.Unfit(rule.status, said)
+
+    def _within(self, flow: int, message: Message, tag: str) -> Call | Attempt:
+        """The leg of a dialog, for its own peer alone.  Raises Unfit."""
+        leg = self.dialogs.get((message.call_id, tag))
+        if leg is None or leg.dialog is None:
+            raise offers.Unfit(481, "no such call")
+        self._demand(Act.WITHIN, flow, own=self.same_peer(flow, leg.dialog.flow), what=message.method)
+        return leg
+
     def _request(self, now: int, tx: Transaction, message: Message) -> None:
         handler = REQUESTS.get(message.method)
         try:
@@ -64,8 +98,8 @@
 
     def _invite(self, now: int, tx: Transaction, message: Message) -> None:
         if message.to_tag:
-            known = (message.call_id, message.to_tag) in self.dialogs
-            raise offers.Unfit(488 if known else 481, "sessions are not changed" if known else "no such call")
+            self._within(tx.flow, message, message.to_tag)
+            raise offers.Unfit(488, "sessions are not changed")
         mark = (message.call_id, message.from_tag, message.cseq)
         if mark in self.merged:
             raise offers.Unfit(482, "the same INVITE came before, over another branch")
@@ -73,6 +107,7 @@
         if self.stopping or len(self.calls) >= limits.calls:
             raise offers.Unfit(503, "stopping" if self.stopping else "call table full", retry_after="1")
         offer = self.reader.read(message)
+        self._allowed(tx.flow, message, offer)
         if offer.dest == self.settings.number and self.settings.lines is None:
             raise offers.Unfit(404, "this exchange has no lines of its own")
         name = message.get("session-id").partition(";")[0]
@@ -123,6 +158,25 @@
             )
         )
 
+    def _allowed(self, flow: int, message: Message, offer: offers.Offer) -> None:
+        """Whether the sender may ask for this call, with these headers.  Raises Unfit."""
+        if offer.trunk >= 0:
+            self._demand(Act.TRANSIT, flow, offer.trunk)
+            who = self.who(flow)
+            if len(who.exchanges) > 1:  # several at one address: from here on it is the one that it said
+                self.meet(flow, replace(who, exchanges=frozenset([offer.trunk])))
+        else:
+            self._demand(Act.CALL, flow)
+            if message.get(fields.CIRCUITS):
+                self._demand(Act.CIRCUITS, flow, what="circuits without a group")
+        if message.get(fields.MARKS):
+            self._demand(Act.MARKS, flow)
+        if message.get(fields.ADVICE):
+            self._demand(Act.ADVICE, flow)
+        caller = self.who(flow).caller
+        named = caller is not None and self.settings.classes[offer.cls].name in caller.classes
+        self._demand(Act.CLASS, flow, own=named)
+
     def _trying(self, now: int, call: Call) -> None:
         if call.state is CallState.OFFERED:
             self.transactions.respond(now, call.tx, response(call.invite, 100))
@@ -139,7 +193,7 @@
         self._transmit_invite(now, call, attempt, self.links[address])
 
     def _cancelled(self, now: int, tx: Transaction, message: Message) -> None:
-        target = self.transactions.servers.get(self.transactions.server_key(message, "INVITE"))
+        target = self.transactions.servers.get(self.transactions.server_key(tx.flow, message, "INVITE"))
         if target is None:
             raise offers.Unfit(481, "nothing to cancel")
         self.transactions.respond(now, tx, response(message, 200, self._id()))
@@ -149,9 +203,8 @@
             self._final(now, call, response(call.invite, 487, call.tag))
 
     def _bye(self, now: int, tx: Transaction, message: Message) -> None:
-        leg = self.dialogs.get((message.call_id, message.to_tag))
-        if leg is None or leg.dialog is None:
-            raise offers.Unfit(481, "no such call")
+        leg = self._within(tx.flow, message, message.to_tag)
+        assert leg.dialog is not None
         if not leg.dialog.accepts(message):
             raise offers.Unfit(500, "CSeq is lower than the last")
         self.transactions.respond(now, tx, response(message, 200))
@@ -180,13 +233,14 @@
         number = self.reader.trunk(message)
         if number < 0:
             raise offers.Unfit(400, "the Contact names no trunk group")
+        self._demand(Act.CIRCUITS, tx.flow, number)
+        ledger = self.ledgers[number]
         text = message.get(fields.CIRCUITS)
         try:
-            blocked = set(read_ranges(text)) if text else set()
+            blocked = within(read_ranges(text), ledger.total) if text else set()
         except ValueError:
             raise offers.Unfit(400, f"circuits {text[:40]!r} are no ranges") from None
         self.transactions.respond(now, tx, response(message, 200, self._id()))
-        ledger = self.ledgers[number]
         ledger.unblock(sorted(ledger.blocked - blocked))
         self.dirty.add(number)
         self._log("warning", "circuits blocked", peer=number, blocked=len(blocked), size=ledger.size)
--- a/eiderstep/lab/clock.py
+++ b/eiderstep/lab/clock.py
@@ -123,13 +123,16 @@
         self.place = place
         return self
 
-    def free_address(self) -> str:
-        """One that nobody had yet; past the ports of one loopback address there is the next."""
+    def free_address(self, host: str = "") -> str:
+        """One that nobody had yet; past the ports of one loopback address there is the next, but where the
+        host is given: there ports go on beyond what TCP has."""
         self._made += 1
+        if host and host != "127.0.0.1":
+            return f"{host}:{FIRST_PORT + self._made}"
         return f"127.0.{self._made // PORTS}.1:{FIRST_PORT + self._made % PORTS}"
 
     def _bind(self, host: str, port: int) -> str:
-        return self.free_address() if not port else f"{host}:{port}"
+        return self.free_address(host) if not port else f"{host}:{port}"
 
     async def create_server(  # type: ignore[override]
         self, factory: Callable[[], Any], host: str = "127.0.0.1", port: int = 0, **_: Any
@@ -141,8 +144,9 @@
         return server
 
     async def create_connection(  # type: ignore[override]
-        self, factory: Callable[[], Any], host: str = "", port: int = 0, **_: Any
-    ) -> tuple[MemoryTransport, Any]:
+        self, factory: Callable[[], Any], host: str = "", port: int = 0,
+        local_addr: tuple[str, int] | None = None, **_: Any,
+    ) -> tuple[MemoryTransport, Any]:  # fmt: skip
         place, address = self.place, f"{host}:{port}"
         server = self.listeners.get(address)
         away = self.network.delay(place, server.place if server else place)
@@ -151,7 +155,7 @@
         if server is None:
             raise ConnectionRefusedError(f"nobody listens at {address}")
         mine, theirs = factory(), server.context.run(server.factory)
-        here = self.free_address()
+        here = self.free_address(local_addr[0] if local_addr else "")
         near = MemoryTransport(self, mine, place, here, address)
         far = server.context.run(MemoryTransport, self, theirs, server.place, address, here)
         near.other, far.other = far, near
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -48,12 +48,14 @@
         trace: Trace | None = None,
         epoch: Callable[[], int] | None = None,
         mind: Mind | None = None,
+        ids: Random | None = None,
     ) -> None:
         """`epoch`: the wall clock in ms, for what others are told of us; by default the loop's.
 
-        `mind`: what decides in place of the module, for a lab that compares.
+        `mind`: what decides in place of the module, for a lab that compares.  `ids`: where tags, branches
+        and Call-IDs come from; the seed's in a lab, the system's random bits in service.
         """
-        self.mind = mind
+        self.mind, self.ids = mind, ids
         self.loop, self.settings, self.log, self.trace = loop, settings, log, trace
         self.epoch = epoch or (lambda: int(loop.time() * 1000))
         limits = settings.limits
@@ -96,7 +98,7 @@
         self.server = await self.loop.create_server(self._accept, host, port, backlog=1024)
         name = self.server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
-        self.engine = Engine(self.settings, self.address, self.mind)
+        self.engine = Engine(self.settings, self.address, self.mind, self.ids)
         self._measure()
         if self.settings.udp or self.settings.udp_peers:
             _, self.datagrams = await self.loop.create_datagram_endpoint(
@@ -198,6 +200,7 @@
             self.datagram_peers[flow] = address
             if self.engine is not None:
                 self.engine.unreliable.add(flow)
+                self.engine.meet(flow, self.engine.book.at(address[0]))
         return flow
 
     def _forget_datagrams(self) -> None:
@@ -216,6 +219,7 @@
             del self.datagram_peers[flow]
             if engine is not None:
                 engine.unreliable.discard(flow)
+                engine.parties.pop(flow, None)
 
     def opened(self, wire: StreamWire) -> None:
         if not wire.dialled and len(self.wires) >= self.settings.limits.connections:
@@ -225,6 +229,10 @@
         self.wires[wire.flow] = wire
         assert wire.transport is not None
         wire.transport.set_write_buffer_limits(high=self.settings.limits.unsent // 4)
+        if self.engine is not None:
+            engine = self.engine
+            known = engine.at_link(wire.dialled) if wire.dialled else engine.book.at(wire.host_name)
+            engine.meet(wire.flow, known)
         if not wire.dialled:
             self.inbound[wire.flow] = self.loop.time()
 
@@ -343,7 +351,9 @@
             if isinstance(effect, fx.Log):
                 self.log(effect.level, effect.event, effect.call, effect.fields)
             elif isinstance(effect, fx.Dial) and self.settings.udp_peers:
-                engine.link_up(self.now(), effect.address, self._datagram_flow(split_address(effect.address)))
+                flow = self._datagram_flow(split_address(effect.address))
+                engine.meet(flow, engine.at_link(effect.address))
+                engine.link_up(self.now(), effect.address, flow)
             elif isinstance(effect, fx.Dial):
                 if effect.address not in self.dials and effect.address not in engine.links:
                     self.dials[effect.address] = self.loop.create_task(self._keep(effect.address))
--- a/eiderstep/server/process.py
+++ b/eiderstep/server/process.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from random import SystemRandom
 
 import msgspec
 import uvloop
@@ -59,7 +60,7 @@
     reread: Callable[[], ServerSettings],
 ) -> None:  # fmt: skip
     loop = asyncio.get_running_loop()
-    server = CallServer(loop, settings, log, trace, lambda: int(time.time() * 1000))
+    server = CallServer(loop, settings, log, trace, lambda: int(time.time() * 1000), ids=SystemRandom())
     early = False
 
     def asked() -> None:
--- a/eiderstep/server/wire.py
+++ b/eiderstep/server/wire.py
@@ -34,12 +34,14 @@
         self.parser = Parser(host.limits)
         self.transport: asyncio.Transport | None = None
         self.peer = dialled
+        self.host_name = ""  # the far end's address without its port
         self.heard = self.paused = False
         self.label = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass of it
         name = transport.get_extra_info("peername")
+        self.host_name = str(name[0]) if name else ""
         self.peer = self.dialled or (f"{name[0]}:{name[1]}" if name else "?")
         self.label = f"{'to' if self.dialled else 'from'} {self.peer} #{self.flow}"
         if self.host.trace is not None:
--- a/eiderstep/sip/fields.py
+++ b/eiderstep/sip/fields.py
@@ -15,6 +15,7 @@
 CLASS, PATIENCE, PAUSE = "eiderstep-class", "eiderstep-patience", "eiderstep-pause"
 MARKS, ADVICE, WAITING = "eiderstep-marks", "eiderstep-advice", "eiderstep-waiting"
 CIRCUITS = "eiderstep-circuits"
+CIRCUITS_OF_ONE = 1024  # that one set-up may seize
 OWN = "Eiderstep"  # the protocol token of causes that Q.850 does not have
 
 NORMAL = 16
@@ -112,9 +113,12 @@
 
 def read_circuits(text: str) -> tuple[int, ...]:
     """Circuit numbers.  Raises ValueError unless they are distinct whole numbers."""
-    numbers = tuple(int(part) for part in text.split(","))
-    if len(set(numbers)) != len(numbers) or min(numbers) < 0 or len(numbers) > 1024:
-        raise ValueError(f"circuits {text[:40]!r} are not distinct numbers")
+    parts = text.split(",", CIRCUITS_OF_ONE)
+    if len(parts) > CIRCUITS_OF_ONE or not all(p.isascii() and p.isdigit() and len(p) <= 5 for p in parts):
+        raise ValueError(f"circuits {text[:40]!r} are not numbers")
+    numbers = tuple(map(int, parts))
+    if len(set(numbers)) != len(numbers):
+        raise ValueError(f"circuits {text[:40]!r} are not distinct")
     return numbers
 
 
--- a/eiderstep/sip/transaction.py
+++ b/eiderstep/sip/transaction.py
@@ -162,7 +162,10 @@
     Kind.CLIENT: S.TRYING, Kind.SERVER: S.TRYING,
 }  # fmt: skip
 SENDS_FIRST = (Kind.CLIENT_INVITE, Kind.CLIENT)
-Key = tuple[str, str, str]
+# The flow is part of the key.  Danger: a response, a CANCEL or an ACK over another connection than the
+# request's would be believed from whoever sends it, and a branch used in advance would swallow an honest
+# request.  Hurts nobody over TCP: a lost connection ends its transactions.  Over UDP a flow is an address.
+Key = tuple[int, str, str, str]
 NOTHING = Message("", "", 0, "", {})  # stands for the request of a transaction that is over
 
 
@@ -245,7 +248,7 @@
     def send(self, now: int, flow: int, message: Message, reliable: bool = True) -> Transaction:
         """Begin a client transaction."""
         invite = message.method == "INVITE"
-        key = (message.branch, "c", message.method)
+        key = (flow, message.branch, "c", message.method)
         tx = Transaction(Kind.CLIENT_INVITE if invite else Kind.CLIENT, key, flow, reliable, message)
         self.clients[key] = tx
         self.by_flow.setdefault(flow, {})[key] = tx
@@ -275,7 +278,7 @@
     def receive(self, now: int, flow: int, message: Message, reliable: bool = True) -> None:
         """Take a message from the network."""
         if message.status:
-            found = self.clients.get((message.branch, "c", message.cseq_method))
+            found = self.clients.get((flow, message.branch, "c", message.cseq_method))
             if found is None:
                 self.events.append(Stray(flow, message))
                 return
@@ -285,10 +288,10 @@
             )
             return
         method = "INVITE" if message.method == "ACK" else message.method
-        key = self.server_key(message, method)
+        key = self.server_key(flow, message, method)
         found = self.servers.get(key)
         if message.method == "ACK":
-            found = found or self._acknowledged(message)
+            found = found or self._acknowledged(flow, message)
             if found is not None:
                 self._step(now, found, N.ACK, message)
             self.events.append(Stray(flow, message))
@@ -304,16 +307,17 @@
         self.events.append(NewRequest(tx, message))
 
     @staticmethod
-    def server_key(message: Message, method: str) -> Key:
+    def server_key(flow: int, message: Message, method: str) -> Key:
         """Section 17.2.3; without the magic cookie the dialog's own marks stand in for the branch."""
         branch = message.branch
         if not branch.startswith(COOKIE):
             branch = f"{message.call_id} {message.cseq} {message.from_tag}"
-        return (branch, message.get("via").partition(";")[0].partition(" ")[2].strip().lower(), method)
+        return (flow, branch, message.get("via").partition(";")[0].partition(" ")[2].strip().lower(), method)
 
-    def _acknowledged(self, ack: Message) -> Transaction | None:
+    def _acknowledged(self, flow: int, ack: Message) -> Transaction | None:
         """The 2xx that an ACK is for: it has a branch of its own, so the dialog tells."""
-        return self._accepted.get((ack.call_id, ack.from_tag, ack.cseq))
+        found = self._accepted.get((ack.call_id, ack.from_tag, ack.cseq))
+        return found if found is not None and found.flow == flow else None
 
     def broken(self, now: int, flow: int) -> None:
         """A connection is lost: all that was open on it fails (section 18.4)."""
--- a/tests/sip_rig.py
+++ b/tests/sip_rig.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from eiderstep.config.schema import CallClass, Cold, Peer, Route, Rules, ServerSettings
+from eiderstep.config.schema import CallClass, Caller, Cold, Peer, Route, Rules, ServerSettings
 from eiderstep.engine.core import Engine
 from eiderstep.engine.effects import Effect
 from eiderstep.sip.message import Message, request, response
 from eiderstep.sip.parser import Parser
+from eiderstep.trust.party import Party
 
 MS, SECOND = 1_000_000, 1_000_000_000
 CALLER, PEER = 1, 2  # flows
@@ -40,6 +41,10 @@
         self.effects: list[Effect] = []
         self.n = 0
         self.engine.begin(self.now)
+        for flow in (CALLER, PEER, 3, 4):
+            self.engine.meet(flow, Party(caller=Caller(name="own", advice=True), source="c"))
+        for number in (1, 2):
+            self.engine.meet(20 + number, Party(frozenset([number]), source=f"10.0.0.{number}"))
         for number in links:
             self.engine.link_up(self.now, f"10.0.0.{number}:1", 10 + number)
         self.flush()
