Limits by source, log lines at a bounded rate, settings scripts within bounds

One attacker wrote 20,000 log lines in 15 s, any address could fill the connection table, and a script that asks for a billion numbers ended in the interpreter's traceback with gigabytes taken.

A message never finished ends its connection.

--- a/eiderstep/config/load.py
+++ b/eiderstep/config/load.py
@@ -11,8 +11,10 @@
 import msgspec
 import starlark
 
+from eiderstep.config.bounds import ConfigError, run_bounded
 from eiderstep.config.schema import MS, SECOND, ServerSettings, cross_check
 
+__all__ = ["ConfigError", "convert", "evaluate", "load_day", "load_settings", "load_text", "locate", "read"]
 T = TypeVar("T")
 SIZE_LIMIT = 1 << 20  # bytes of a script
 
@@ -20,19 +22,11 @@
 # can compute with them; what they hold is checked once, at the end.
 BUILDERS = (
     "call_class", "peer", "route", "cold", "rules", "register", "registry", "tls", "lease", "timers",
-    "sizing", "trust", "caller",
+    "sizing", "trust", "caller", "source_limits",
     "limits", "trouble", "exchange", "fleet", "traffic", "callers", "expect",
 )  # fmt: skip
 
 
-class ConfigError(ValueError):
-    """A script that cannot be served."""
-
-    def __init__(self, file: str, line: int, field: str, text: str) -> None:
-        self.file, self.line, self.field, self.text = file, line, field, text
-        super().__init__(f"{file}:{line}: {field}: {text}" if field else f"{file}:{line}: {text}")
-
-
 def evaluate(
     text: str, file: str, names: tuple[str, ...], more: Mapping[str, Callable[..., Any]] | None = None
 ) -> dict[str, Any]:
@@ -42,17 +36,14 @@
     """
     if len(text) > SIZE_LIMIT:
         raise ConfigError(file, 1, "", f"found {len(text)} characters; allowed: up to {SIZE_LIMIT}")
-    module, builtins = starlark.Module(), starlark.Globals.standard()
+    module = starlark.Module()
     module.add_callable("ms", lambda count: round(count * MS))
     module.add_callable("s", lambda count: round(count * SECOND))
     for name in BUILDERS:
         module.add_callable(name, _builder(name))
     for name, function in (more or {}).items():
         module.add_callable(name, function)
-    try:
-        starlark.eval(module, starlark.parse(file, text), builtins)
-    except starlark.StarlarkError as problem:
-        raise ConfigError(file, _line_of(str(problem), file), "", _first_words(str(problem))) from None
+    run_bounded(module, text, file)
     found: dict[str, Any] = {}
     for name, line in _assigned(text).items():
         if name.startswith("_"):
@@ -73,16 +64,6 @@
     return build
 
 
-def _line_of(problem: str, file: str) -> int:
-    places = re.findall(re.escape(file) + r":(\d+)", problem)
-    return int(places[-1]) if places else 1
-
-
-def _first_words(problem: str) -> str:
-    lines = [x.strip() for x in problem.splitlines() if x.strip().startswith("error: ")]
-    return lines[0].removeprefix("error: ") if lines else problem.strip().splitlines()[-1]
-
-
 def _tree(text: str) -> ast.Module | None:
     """Starlark's grammar is Python's for all that a settings script needs to be located in."""
     try:
--- a/eiderstep/config/schema.py
+++ b/eiderstep/config/schema.py
@@ -190,6 +190,17 @@
     tick: Length = 5 * MS  # timers fall due on multiples of it, never early: one batch for many
 
 
+class SourceLimits(Strict, frozen=True, kw_only=True):
+    """What one source may cost: an address on a plain link, a proven name over TLS."""
+
+    connections: Count = 1000
+    silent: Count = 200  # that have not said a whole message yet
+    messages: Count = 4000  # a second, twice of them in a burst; a stranger a sixteenth of it
+    faults: Count = 50  # messages that cannot be read, before its idle connections are closed
+    calls: Count = 20_000  # at once, asked for or standing
+    reserved: Annotated[float, Meta(ge=0, lt=1, description="0 to below 1")] = 0.25  # connections: exchanges'
+
+
 class Limits(Strict, frozen=True, kw_only=True):
     """What one peer may cost us."""
 
@@ -203,6 +214,7 @@
     unsent: Annotated[int, Meta(ge=4096, le=2**30, description="4096 to 2**30 bytes")] = 4_194_304
     dial: Length = 500 * MS
     redial: Length = 200 * MS
+    source: SourceLimits = SourceLimits()
     drain: MaybeLength = 30 * SECOND  # how long a stop waits for standing calls
 
 
--- a/eiderstep/engine/calls.py
+++ b/eiderstep/engine/calls.py
@@ -31,8 +31,8 @@
 
     __slots__ = (
         "attempt", "beyond_full", "circuits", "cls", "counted", "dest", "dialog", "expires", "flow", "invite",
-        "legs", "ledger", "local", "name", "redial", "session", "state", "tag", "transit", "trying", "tx",
-        "width",
+        "legs", "ledger", "local", "name", "redial", "session", "source", "state", "tag", "transit",
+        "trying", "tx", "width",
     )  # fmt: skip
     seized_here = False
     releasing = False
@@ -43,6 +43,7 @@
     ) -> None:  # fmt: skip
         self.name, self.flow, self.tx, self.invite, self.tag = name, flow, tx, invite, tag
         self.cls, self.width, self.dest, self.expires = cls, width, dest, expires
+        self.source = ""  # whose limits it draws on
         self.session = invite.get("session-id") or name
         self.state = CallState.OFFERED
         self.attempt: Attempt | None = None
--- a/eiderstep/engine/core.py
+++ b/eiderstep/engine/core.py
@@ -30,6 +30,7 @@
 from eiderstep.trust.rules import Act, refusal
 
 NEVER = 2**63
+BEGINNING = ("INVITE", "OPTIONS", "NOTIFY", "REGISTER", "SUBSCRIBE", "MESSAGE")
 
 
 class Decider(Protocol):
@@ -83,6 +84,16 @@
         self.transactions.receive(now, flow, item, reliable)
         self._take(now)
 
+    def over_rate(self, now: int, flow: int, item: Message | BadMessage, reliable: bool, wait: int) -> None:
+        """A message of a source that is over its rate: what begins something is told to come back, at once
+        and without state; what ends something, or answers, is taken."""
+        if isinstance(item, BadMessage) or item.status or item.method not in BEGINNING:
+            self.message(now, flow, item, reliable)
+            return
+        self._count("over its rate")
+        self._log("warning", "over its rate", flow=flow)
+        self._stateless(flow, item, 503, wait)
+
     def link_up(self, now: int, address: str, flow: int) -> None:
         """A connection that we dialled stands."""
         self.links[address] = flow
--- a/eiderstep/engine/legs.py
+++ b/eiderstep/engine/legs.py
@@ -55,6 +55,7 @@
         self.out = self.transactions.out
         self.calls: dict[str, Call] = {}
         self.dialogs: dict[tuple[str, str], Call | Attempt] = {}
+        self.drawn: dict[str, int] = {}  # calls in the table, by the source that asked for them
         self.merged: dict[tuple[str, str, int], Call] = {}
         self.on_flow: dict[int, dict[Call | Attempt, None]] = {}
         self.ledgers = {p.number: Ledger(p.circuits, settings.number, p.number) for p in settings.peers}
@@ -292,6 +293,11 @@
                 call.tx.owner = None
                 call.attempt = None
                 del self.calls[call.name]
+                left = self.drawn.get(call.source, 0) - 1
+                if left > 0:
+                    self.drawn[call.source] = left
+                else:
+                    self.drawn.pop(call.source, None)
                 self.merged.pop((call.invite.call_id, call.invite.from_tag, call.invite.cseq), None)
 
     def _gone(self, now: int, call: Call) -> None:
--- a/eiderstep/engine/requests.py
+++ b/eiderstep/engine/requests.py
@@ -41,8 +41,7 @@
         self._log("warning", "malformed message", why=problem.text, status=problem.status, flow=flow)
         message = problem.message
         if message is not None and message.method not in ("", "?", "ACK") and "via" in message.headers:
-            answer = response(message, problem.status, self._id())
-            self.out.append((flow, answer.encode()))
+            self._stateless(flow, message, problem.status)
         if problem.fatal:
             self.effects.append(fx.CloseFlow(flow, problem.text))
 
@@ -50,16 +49,24 @@
         """Nobody: a request is answered without any state (section 8.2.7), all else falls away.
 
         Danger: a transaction for each message of a stranger would hold memory for 64 x T1, and a log line
-        for each fill the disk.  Hurts an honest sender that the settings do not name: all it gets is a 403.
+        for each fill the disk.  Over UDP its address may be another's, whom the answers would flood: there it
+        gets none.  Hurts an honest sender that the settings do not name: all it gets is a 403.
         """
         self._count("strangers")
+        if flow in self.unreliable:
+            return
         message = item.message if isinstance(item, BadMessage) else item
         self._log("warning", "stranger refused", flow=flow, method=message.method[:20] if message else "")
         if message is not None and message.method not in ("", "?", "ACK") and "via" in message.headers:
-            self.out.append((flow, response(message, 403, self._id()).encode()))
+            self._stateless(flow, message, 403)
         if isinstance(item, BadMessage) and item.fatal:
             self.effects.append(fx.CloseFlow(flow, item.text))
 
+    def _stateless(self, flow: int, message: Message, status: int, wait: int = 0) -> None:
+        answer = response(message, status, self._id())
+        fields.write_wait(answer, wait)
+        self.out.append((flow, answer.encode()))
+
     def _demand(self, act: Act, flow: int, about: int = -1, own: bool = False, what: str = "") -> None:
         """Raises Unfit where the rules of trust forbid it."""
         rule = refusal(act, self.who(flow), about, own)
@@ -88,9 +95,8 @@
             handler(self, now, tx, message)
         except offers.Unfit as unfit:
             self._count("unfit")
-            self._log(
-                "info", "request not served", message.get("session-id"), status=unfit.status, why=unfit.text
-            )
+            said = {"status": unfit.status, "why": unfit.text, "flow": tx.flow}
+            self._log("info", "request not served", message.get("session-id"), **said)
             answer = response(message, unfit.status, self._id())
             for name, value in unfit.headers.items():
                 answer.set(name, value)
@@ -106,6 +112,10 @@
         limits = self.settings.limits
         if self.stopping or len(self.calls) >= limits.calls:
             raise offers.Unfit(503, "stopping" if self.stopping else "call table full", retry_after="1")
+        source = self.who(tx.flow).source
+        if self.drawn.get(source, 0) >= limits.source.calls:
+            self._count("calls over the limit of a source")
+            raise offers.Unfit(503, f"{limits.source.calls} calls of one source", retry_after="1")
         offer = self.reader.read(message)
         self._allowed(tx.flow, message, offer)
         if offer.dest == self.settings.number and self.settings.lines is None:
@@ -136,6 +146,8 @@
         else:
             self._trying(now, call)
         self.calls[name] = self.merged[mark] = call
+        call.source = source
+        self.drawn[source] = self.drawn.get(source, 0) + 1
         if self.verbose:
             self._log("debug", "call offered", name, dest=offer.dest, transit=call.transit)
         if offer.dest == self.settings.number:
--- a/eiderstep/server/wire.py
+++ b/eiderstep/server/wire.py
@@ -35,7 +35,8 @@
         self.transport: asyncio.Transport | None = None
         self.peer = dialled
         self.host_name = ""  # the far end's address without its port
-        self.heard = self.paused = False
+        self.paused = False
+        self.begun = 0.0  # when the message began that is not whole yet (s); 0 where none is
         self.label = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -52,8 +53,11 @@
         if self.host.trace is not None:
             self.host.trace(self.host.now(), self.label, self.peer, "in", data)
         items = self.parser.feed(data)
+        if not self.parser.buffer:
+            self.begun = 0.0
+        elif items or not self.begun:
+            self.begun = self.host.now() / 1e9
         if items:
-            self.heard = True
             self.host.came(self.flow, items, True)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -74,6 +78,12 @@
                 self.host.trace(self.host.now(), self.label, self.peer, "out", data)
             self.transport.write(data)
 
+    def abort(self) -> None:
+        """Gone at once, with what is unsent: nobody is owed anything."""
+        self.begun = 0.0
+        if self.transport is not None:
+            self.transport.abort()
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.close()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -91,3 +91,23 @@
         with pytest.raises(ConfigError, match="day.star:") as caught:
             script.load(path)
         assert said in caught.value.text
+
+
+RUNAWAY = {
+    "a list of a billion": "name = [i for i in range(1000000000)]",
+    "a list doubled": "def f():\n  x = [1]\n  for i in range(60):\n    x = x + x\n  return x\nname = f()",
+    "a text doubled, line by line": "_a = 'x' * 1000\n" + "_a = _a + _a\n" * 40 + "name = _a",
+    "a text of gigabytes": "name = 'x' * 2000000000",
+    "a loop of a billion": "def f():\n  for i in range(1 << 30):\n    n = i\n  return n\nname = f()",
+    "a call of itself": "def f(n):\n  return f(n + 1)\nname = f(0)",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", RUNAWAY)
+def test_a_script_that_runs_away_is_one_line(name: str) -> None:
+    """The first took gigabytes and ended in the interpreter's own traceback."""
+    with pytest.raises(ConfigError) as caught:
+        load_text(RUNAWAY[name], "s.star")
+    said = str(caught.value)
+    assert said.startswith("s.star:") and "\n" not in said and ("allowed" in said or "overflow" in said)
+    assert load_text(GOOD).number == 0, "and the process goes on"
