TLS on the SIP links, both ends proven; keys made, rotated, revoked without a call cut

On a plain network whoever has an exchange's address is that exchange. With keys it is who proves its name.

trust/proof.py judges names (RFC 5922), times with a stated slack, revocation, on new and resumed sessions and again while a link stands; trust/authority.py is a small CA (`eiderstep keys`); server/tls.py is TLS without I/O, so that it runs in virtual time as it stands. New keys make new links beside the old ones, which go once nothing stands on them. Key files that others can read are refused. Connections moved from server/node.py to server/doors.py.

--- a/eiderstep/cli/__init__.py
+++ b/eiderstep/cli/__init__.py
@@ -6,8 +6,9 @@
 
 import typer
 
-from eiderstep.cli import bench, check, day, experiment, registry, rehearse, serve, size, trace
+from eiderstep.cli import bench, check, day, experiment, keys, registry, rehearse, serve, size, trace
 from eiderstep.config.load import ConfigError
+from eiderstep.trust.proof import KeysError
 
 app = typer.Typer(
     no_args_is_help=True, add_completion=False, help="A call router for exchanges and trunk groups."
@@ -19,6 +20,7 @@
 app.command("trace")(trace.trace)
 app.command("bench")(bench.bench)
 app.add_typer(experiment.app, name="experiment")
+app.add_typer(keys.app, name="keys")
 app.add_typer(registry.app, name="registry")
 app.add_typer(size.app, name="size")
 
@@ -27,6 +29,6 @@
     """Run the command; what is wrong with a script is one line on standard error and exit 2."""
     try:
         app()
-    except ConfigError as problem:
+    except (ConfigError, KeysError) as problem:
         print(f"eiderstep: {problem}", file=sys.stderr)
         sys.exit(2)
--- a/eiderstep/cli/logs.py
+++ b/eiderstep/cli/logs.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from eiderstep.server.node import Logger
+from eiderstep.server.doors import Logger
 
 
 def logger(console: bool, verbose: bool = False) -> Logger:
--- a/eiderstep/config/load.py
+++ b/eiderstep/config/load.py
@@ -22,7 +22,7 @@
 # can compute with them; what they hold is checked once, at the end.
 BUILDERS = (
     "call_class", "peer", "route", "cold", "rules", "register", "registry", "tls", "lease", "timers",
-    "sizing", "trust", "caller", "source_limits",
+    "sizing", "trust", "caller", "source_limits", "sip_tls",
     "limits", "trouble", "exchange", "fleet", "traffic", "callers", "expect",
 )  # fmt: skip
 
@@ -200,13 +200,13 @@
     """Settings from a file."""
     text = read(path)
     settings = load_text(text, str(path))
-    tls = settings.registry.tls if settings.registry is not None else None
-    for name in ("ca", "cert", "key") if tls is not None else ():
-        file = getattr(tls, name)
-        if file and not Path(file).is_file():
-            field = f"registry.tls.{name}"
-            found = f"found {file!r}, no file; allowed: a PEM file"
-            raise ConfigError(str(path), locate(text, f"$.{field}"), field, found)
+    registry = settings.registry.tls if settings.registry is not None else None
+    for part, tls in (("registry.tls", registry), ("trust.tls", settings.trust.tls)):
+        for name in ("ca", "cert", "key", "crl") if tls is not None else ():
+            file = getattr(tls, name, "")
+            if file and not Path(file).is_file():
+                field, found = f"{part}.{name}", f"found {file!r}, no file; allowed: a PEM file"
+                raise ConfigError(str(path), locate(text, f"$.{field}"), field, found)
     return settings
 
 
--- a/eiderstep/config/schema.py
+++ b/eiderstep/config/schema.py
@@ -55,6 +55,7 @@
     zone: Number = 0
     hosts: list[Host] = []  # from which it connects, beside the host of its address (plain links)
     identity: Domain = ""  # in its certificate; x<number>.<context> if empty
+    plain: bool = False  # its link is plain though we have keys
 
 
 class Route(Strict, frozen=True, kw_only=True):
@@ -172,12 +173,26 @@
     return [Caller(name="own", networks=["127.0.0.0/8", "::1/128"])]
 
 
+class SipTls(Strict, frozen=True, kw_only=True):
+    """TLS on the SIP links, both ends proven; files in PEM, read anew when they change and at SIGHUP."""
+
+    listen: Address  # beside the plain `listen`
+    ca: Annotated[str, Meta(min_length=1, description="a file of CA certificates")]
+    cert: Annotated[str, Meta(min_length=1, description="a file with our certificate")]
+    key: Annotated[str, Meta(min_length=1, description="a file with our key, for its owner alone")]
+    crl: str = ""  # the CA's revocation list
+    handshake: Length = 5 * SECOND  # one that takes longer is closed
+    slack: MaybeLength = 60 * SECOND  # how far clocks may differ
+    look: Length = 5 * SECOND  # how often files, times and revocations are looked at
+
+
 class Trust(Strict, frozen=True, kw_only=True):
     """Who is believed, and what for."""
 
     # The own machine's callers, and nobody else's until the settings let them in.
     callers: list[Caller] = msgspec.field(default_factory=own_callers)
     plain_exchanges: bool = True  # an exchange is who connects from its address; False: keys alone
+    tls: SipTls | None = None
     moves: bool = True  # the list of exchanges may name new addresses for them (plain links)
 
 
--- a/eiderstep/server/process.py
+++ b/eiderstep/server/process.py
@@ -15,7 +15,8 @@
 
 from eiderstep.config.load import ConfigError
 from eiderstep.config.schema import ServerSettings
-from eiderstep.server.node import CallServer, Logger
+from eiderstep.server.doors import Logger
+from eiderstep.server.node import CallServer
 from eiderstep.server.wire import Trace
 
 
@@ -76,6 +77,7 @@
     def reload() -> None:
         try:
             server.resize(reread())
+            server.rekey()
         except ConfigError as problem:
             log("error", "settings not read", "", {"why": str(problem)})
 
--- a/eiderstep/server/wire.py
+++ b/eiderstep/server/wire.py
@@ -4,11 +4,15 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Protocol, cast
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from eiderstep.sip.message import Message
 from eiderstep.sip.parser import BadMessage, Limits, Parser, parse_datagram
 
+if TYPE_CHECKING:
+    from eiderstep.server.tls import Tls
+
+NEVER: Any = None  # a plain connection has nothing to wait for
 Trace = Callable[
     [int, str, str, str, bytes], None
 ]  # ns, connection, peer, "in" | "out" | "up" | "down", bytes
@@ -19,37 +23,59 @@
 
     limits: Limits
     trace: Trace | None
+    loop: asyncio.AbstractEventLoop
 
     def now(self) -> int: ...
+    def knocked(self, wire: StreamWire) -> bool: ...
+    def unproven(self, wire: StreamWire, why: str) -> None: ...
     def opened(self, wire: StreamWire) -> None: ...
     def closed(self, wire: StreamWire) -> None: ...
     def came(self, flow: int, items: list[Message | BadMessage], reliable: bool) -> None: ...
 
 
 class StreamWire(asyncio.Protocol):
-    """One TCP connection.  `dialled` is the address we called, empty for an inbound one."""
+    """One TCP connection, plain or with TLS.  `dialled` is the address we called, empty for an inbound one.
+
+    The host hears of a connection with TLS (`opened`) once both ends are proven, and of plain bytes alone.
+    """
 
-    def __init__(self, host: Host, flow: int, dialled: str = "") -> None:
-        self.host, self.flow, self.dialled = host, flow, dialled
+    def __init__(self, host: Host, flow: int, dialled: str = "", tls: Tls | None = None) -> None:
+        self.host, self.flow, self.dialled, self.tls = host, flow, dialled, tls
         self.parser = Parser(host.limits)
         self.transport: asyncio.Transport | None = None
         self.peer = dialled
         self.host_name = ""  # the far end's address without its port
-        self.paused = False
+        self.paused = self.refused = False
         self.begun = 0.0  # when the message began that is not whole yet (s); 0 where none is
         self.label = ""
+        self.ready: asyncio.Future[None] = host.loop.create_future() if tls is not None else NEVER
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass of it
+        self.transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass of it
         name = transport.get_extra_info("peername")
         self.host_name = str(name[0]) if name else ""
         self.peer = self.dialled or (f"{name[0]}:{name[1]}" if name else "?")
         self.label = f"{'to' if self.dialled else 'from'} {self.peer} #{self.flow}"
+        if self.tls is None:
+            self._open()
+        elif not self.host.knocked(self):
+            self.refused = True
+            self.abort()
+        elif not self.tls.server_side:
+            transport.write(self.tls.start())
+
+    def _open(self) -> None:
         if self.host.trace is not None:
             self.host.trace(self.host.now(), self.label, self.peer, "up", b"")
         self.host.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.refused:
+            return
+        if self.tls is not None:
+            data = self._through(self.tls, data)
+            if not data:
+                return
         if self.host.trace is not None:
             self.host.trace(self.host.now(), self.label, self.peer, "in", data)
         items = self.parser.feed(data)
@@ -60,9 +86,35 @@
         if items:
             self.host.came(self.flow, items, True)
 
+    def _through(self, tls: Tls, data: bytes) -> bytes:
+        """Bytes through TLS; the plain ones, once the far end is proven."""
+        assert self.transport is not None
+        was = tls.done
+        plain = tls.feed(data)
+        if wanted := tls.wanted():
+            self.transport.write(wanted)
+        if tls.done and not was:
+            self._open()
+            if self.refused:
+                return b""
+            if not self.ready.done():
+                self.ready.set_result(None)
+        if tls.failed:
+            if tls.done:
+                self.abort()
+            else:
+                self.host.unproven(self, tls.failed)
+        elif tls.closed:
+            self.transport.close()
+        return plain
+
     def connection_lost(self, exc: Exception | None) -> None:
-        if self.host.trace is not None:
-            self.host.trace(self.host.now(), self.label, self.peer, "down", b"")
+        if self.tls is None or (self.tls.done and not self.refused):
+            if self.host.trace is not None:
+                self.host.trace(self.host.now(), self.label, self.peer, "down", b"")
+        if self.tls is not None and not self.ready.done():
+            self.ready.set_exception(ConnectionError("lost before it was proven"))
+            self.ready.exception()  # retrieved: nobody may be waiting
         self.host.closed(self)
 
     def pause_writing(self) -> None:
@@ -76,7 +128,7 @@
         if self.transport is not None and not self.transport.is_closing():
             if self.host.trace is not None:
                 self.host.trace(self.host.now(), self.label, self.peer, "out", data)
-            self.transport.write(data)
+            self.transport.write(data if self.tls is None else self.tls.write(data))
 
     def abort(self) -> None:
         """Gone at once, with what is unsent: nobody is owed anything."""
@@ -86,6 +138,8 @@
 
     def close(self) -> None:
         if self.transport is not None:
+            if self.tls is not None and self.tls.done and not self.transport.is_closing():
+                self.transport.write(self.tls.end())
             self.transport.close()
 
 
--- a/eiderstep/trust/limits.py
+++ b/eiderstep/trust/limits.py
@@ -19,6 +19,7 @@
 FLOOD = 2  # times the rate of messages: no honest source sends so much after it was told to come back
 PAUSE, LONGEST = SECOND, 64 * SECOND  # after a source was closed for its faults, doubling
 FORGIVEN = 300 * SECOND  # a source without a fault for so long begins anew
+HANDSHAKE = 5  # messages that one costs about as much as
 STRANGERS = 16  # a stranger's rate is so many times lower than a known source's
 SOURCES = 16_384  # remembered at most; those without a connection go first
 
@@ -53,9 +54,9 @@
         self.faults, self.faults_at = 0, 0
         self.pause, self.until = PAUSE, 0
 
-    def pour(self, now: int) -> float:
+    def pour(self, now: int, weight: int = 1) -> float:
         """One message more: how far the source is over its rate, in seconds of it."""
-        self.level = max(self.level - (now - self.at) / SECOND * self.rate, 0.0) + 1
+        self.level = max(self.level - (now - self.at) / SECOND * self.rate, 0.0) + weight
         self.at = now
         return self.level / self.rate
 
@@ -76,8 +77,15 @@
 
     # -- connections ---------------------------------------------------------------------------------------
 
-    def connect(self, now: int, flow: int, name: str, exchange: bool, known: bool) -> str:
-        """A connection came in.  Why it is closed at once; empty where it may stay."""
+    def connect(
+        self, now: int, flow: int, name: str, exchange: bool, known: bool, handshake: bool = False
+    ) -> str:
+        """A connection came in.  Why it is closed at once; empty where it may stay.
+
+        `handshake`: it has to prove itself first, which costs us some messages' worth of work.  Danger: that
+        work is done for whoever connects, half a millisecond each.  Hurts an address behind which hundreds of
+        peers come back at once: those over its rate are let in a second later.
+        """
         limits = self.limits
         if len(self.flows) >= self.connections:
             return "too many connections"
@@ -87,6 +95,8 @@
                 return "too many connections"
             if now < source.until:
                 return "source paused"
+            if handshake and source.pour(now, HANDSHAKE) > 1.0:
+                return "too many handshakes of one source"
             if source.flows >= limits.connections:
                 return "too many connections of one source"
             if source.waiting >= limits.silent:
--- a/eiderstep/trust/party.py
+++ b/eiderstep/trust/party.py
@@ -98,6 +98,11 @@
             exchanges = frozenset(self.named.get(host, set()) | self.moved.get(host, set()))
         return Party(exchanges, self._caller(host), host)
 
+    def expects(self, host: str) -> bool:
+        """Whether an exchange is known to be at an address, whatever it has to prove yet."""
+        host = plain_host(host)
+        return host in self.named or host in self.moved
+
     def by_key(self, names: tuple[str, ...], host: str) -> Party:
         """Who has proven these names with a key (RFC 5922); its address counts for nothing."""
         exchanges, caller = set[int](), None
