--- a/eiderstep/sip/parser.py
+++ b/eiderstep/sip/parser.py
@@ -271,6 +271,10 @@
             if len(buffer) > self.limits.line + 1 and buffer.find(b"\r\n", 0, self.limits.line + 2) < 0:
                 raise BadMessage(414, f"a start line of over {self.limits.line} bytes", True)
             return False
+        # Danger: taken whole and refused in pieces, a stream means one thing to us and another to who is
+        # before us.  So a start line over its limit ends the connection however it comes.
+        if end > self.limits.line and buffer.find(b"\r\n", 0, self.limits.line + 2) < 0:
+            raise BadMessage(414, f"a start line of over {self.limits.line} bytes", True)
         message, wrong = parse_head(buffer[:end].decode("utf-8", "surrogateescape"), self.limits)
         length = _length(message, self.limits)
         if length is None:
