--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -588,3 +588,21 @@
         assert await calls(site, 2) == ["stands"] * 2, "and is back once the clock is right"
 
     play(tmp_path, run)
+
+
+def test_a_key_rotated_in_the_middle_of_a_drain_cuts_nothing(tmp_path: Path) -> None:
+    async def run(site: Site) -> None:
+        await site.start()
+        asks = [site.callers[0].offer(PLAIN, "40011234") for _ in range(12)]
+        await asyncio.sleep(1)
+        site.servers[0].stop()
+        for number in range(2):
+            site.ca.issue(site.stem(number), site.epoch())
+        await asyncio.sleep(10)
+        assert [a.outcome for a in asks] == ["stands"] * 12 and not any(a.cut for a in asks)
+        assert "keys read" in site.events(0) and "stopped" not in site.events(0)
+        assert await calls(site, 1) == ["given up"], "a call that comes now is told to come back"
+        await asyncio.sleep(25)
+        assert "stopped" in site.events(0), "the drain is over in its own time"
+
+    play(tmp_path, run)
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -124,6 +124,19 @@
     assert not b.by_key(("x9.t", "x1.other"), "10.0.0.1").known, "the address of an exchange does not help"
 
 
+def test_a_party_has_a_name_for_the_log_and_a_source_for_its_limits() -> None:
+    b = book()
+    said = [str(p) for p in (X12, b.by_key(("hall.example",), "h"), NOBODY, b.by_key(("x1.t",), "h"))]
+    assert said == ["exchange 1 or 2", "caller hall", "nobody", "exchange 1"]
+    assert (
+        b.by_key(("x1.t",), "h").source == "x1.t"
+        and b.by_key(("hall.example",), "h").source == "hall.example"
+    )
+    assert b.by_key(("x9.t",), "h").source == "h", "a name that nobody has is no source of its own"
+    assert b.at("fe80::1").source == "fe80::1" and b.at("::ffff:a00:1").source == "::ffff:a00:1"
+    assert b.expects("10.0.1.1") and not b.expects("10.9.9.9")
+
+
 def test_the_memory_of_addresses_is_bounded() -> None:
     b = book()
     for n in range(5000):
