--- a/eiderstep/lab/emulator/troubles.py
+++ b/eiderstep/lab/emulator/troubles.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from eiderstep.lab.process import StrangerProcess
 from eiderstep.lab.registry import EurekaSite
 from eiderstep.lab.script import SECOND, Trouble
 from eiderstep.lab.world import host_of
@@ -223,7 +224,8 @@
             CALLER: [f"127.2.200.{n + 1}" for n in range(SOURCES // 2)],
             EXCHANGE: [host_of(n) for n in world.exchanges if n != number],
         }
-        one = Stranger(
+        kind = Stranger if world.folder is None else StrangerProcess
+        one = kind(
             player.loop, site.server.address, hosts, partial(world.victims, number),
             Random(player.rng.getrandbits(64)), trouble.factor,
         )  # fmt: skip
--- a/eiderstep/lab/process.py
+++ b/eiderstep/lab/process.py
@@ -6,12 +6,15 @@
 import json
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from eiderstep.audit import Capture
 from eiderstep.config.dump import dump
 from eiderstep.config.schema import ServerSettings
+from eiderstep.standin.stranger import Victim, told
 
 START_TIME = 20.0  # seconds for a process to say where it serves
 
@@ -82,3 +85,37 @@
     def captured(self) -> Capture:
         """What passed its sockets; complete once it has stopped."""
         return Capture.read(self.capture_file)
+
+
+class StrangerProcess:
+    """Attackers in a process of their own, so that what they cost the lab delays no exchange in it."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, server: str, hosts: dict[str, list[str]],
+        victims: Callable[[], list[Victim]], rng: Random, rate: float,
+    ) -> None:  # fmt: skip
+        self.loop, self.server, self.hosts, self.victims, self.rng = loop, server, hosts, victims, rng
+        self.rate = rate
+        self.sent: dict[str, int] = {}
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def run(self, seconds: float) -> None:
+        """Attack for so long; what the attackers know of calls is told them twice a second."""
+        pipe = asyncio.subprocess.PIPE
+        words = [self.server, json.dumps(self.hosts), str(self.rate), str(seconds)]
+        words.append(str(self.rng.randrange(2**31)))
+        command = [sys.executable, "-m", "eiderstep.standin.stranger", *words]
+        self.process = one = await asyncio.create_subprocess_exec(*command, stdin=pipe, stdout=pipe)
+        assert one.stdin is not None and one.stdout is not None
+        ends = self.loop.time() + seconds + 1
+        while self.loop.time() < ends and one.returncode is None:
+            one.stdin.write(told(self.victims()).encode())
+            await asyncio.sleep(0.5)
+        one.stdin.close()
+        line = await one.stdout.readline()
+        self.sent = json.loads(line)["sent"] if line else {}
+        await one.wait()
+
+    def close(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
--- a/eiderstep/lab/world.py
+++ b/eiderstep/lab/world.py
@@ -26,7 +26,7 @@
 from eiderstep.lab.clock import VirtualLoop
 from eiderstep.lab.emulator.conditions import Conditions
 from eiderstep.lab.emulator.hosts import Host
-from eiderstep.lab.process import ProcessServer
+from eiderstep.lab.process import ProcessServer, StrangerProcess
 from eiderstep.lab.registry import APP, REPLICATION, EurekaSite
 from eiderstep.lab.script import SECOND, Day
 from eiderstep.server.node import CallServer
@@ -111,7 +111,7 @@
         self.measure: Path | None = None  # a folder: call servers measure their groups into it
         self.away: list[Away] = []
         self.left_at: dict[int, int] = {}  # exchanges that are away, and since when (ns)
-        self.strangers: list[Stranger] = []
+        self.strangers: list[Stranger | StrangerProcess] = []
         self.known: dict[int, tuple[float, list[Victim]]] = {}  # what strangers know, and since when
         self.began = 0.0
 
--- a/eiderstep/standin/stranger.py
+++ b/eiderstep/standin/stranger.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -299,3 +301,47 @@
             wire.transport.abort()
         for transport in self.idle:
             transport.abort()
+
+
+def told(victims: list[Victim]) -> str:
+    """Victims as a line, for attackers in a process of their own."""
+    rows = [
+        [v.invite.encode().decode("latin-1"), v.to, v.set_up.encode().decode("latin-1"), v.far_to, v.group,
+         v.number, v.cls, v.context, v.host]
+        for v in victims
+    ]  # fmt: skip
+    return json.dumps(rows) + "\n"
+
+
+def heard(line: str) -> list[Victim]:
+    """The same, read."""
+    found: list[Victim] = []
+    for invite, to, set_up, *rest in json.loads(line):
+        pair = [item for text in (invite, set_up) for item in Parser().feed(text.encode("latin-1"))]
+        if len(pair) == 2 and all(isinstance(item, Message) for item in pair):
+            found.append(Victim(pair[0], to, pair[1], *rest))  # type: ignore[arg-type]
+    return found
+
+
+async def _apart(server: str, hosts: str, rate: float, seconds: float, seed: int) -> None:
+    loop, victims = asyncio.get_running_loop(), list[Victim]()
+
+    class Input(asyncio.Protocol):
+        rest = b""
+
+        def data_received(self, data: bytes) -> None:
+            *lines, self.rest = (self.rest + data).split(b"\n")
+            if lines:
+                victims[:] = heard(lines[-1].decode())
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            one.over = True
+
+    one = Stranger(loop, server, json.loads(hosts), lambda: victims, Random(seed), rate)
+    await loop.connect_read_pipe(Input, sys.stdin)
+    await one.run(seconds)
+    print(json.dumps({"sent": one.sent, "statuses": one.statuses}), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(_apart(sys.argv[1], sys.argv[2], float(sys.argv[3]), float(sys.argv[4]), int(sys.argv[5])))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -60,6 +60,25 @@
     assert one.message(99, 7) is Verdict.TAKE, "a link that we dialled"
 
 
+def test_handshakes_draw_on_the_rate_of_their_address() -> None:
+    one = Limiter(SourceLimits(messages=10), 100)
+    one.spoke(77)  # a link that we dialled is in no book
+    said = [one.connect(0, n, "a", False, True, handshake=True) for n in range(4)]
+    assert said == ["", "", "too many handshakes of one source", "too many handshakes of one source"]
+    assert one.connect(0, 8, "a", False, True) == "", "a plain connection costs nothing yet"
+    assert one.connect(0, 9, "x", True, True, handshake=True) == ""
+    assert one.connect(2 * SECOND, 10, "a", False, True, handshake=True) == "", "and a second later"
+
+
+def test_one_pause_for_all_connections_of_a_source_that_are_closed_together() -> None:
+    one = Limiter(SMALL, 100)
+    for n in (1, 2):
+        one.connect(0, n, "a", False, True)
+    assert [one.fault(0, 1, False) for _ in range(3)][-1] is Verdict.CLOSE
+    assert one.fault(0, 2, False) is Verdict.CLOSE and one.sources["a"].until == SECOND
+    assert one.sources["a"].pause == 2 * SECOND
+
+
 def test_an_exchange_is_never_read_slowly_and_never_closed() -> None:
     one = Limiter(SMALL, 100)
     one.connect(0, 1, "x", True, True)
