--- a/eiderstep/trust/proof.py
+++ b/eiderstep/trust/proof.py
@@ -41,7 +41,7 @@
         scheme, _, rest = value.partition(":")
         if kind == "URI" and scheme.lower() == "sip" and rest and not set(rest) & set("@;?:/"):
             uris.append(rest.lower())
-    if uris or any(kind == "URI" and v.lower().startswith("sip:") for kind, v in subject_alt_name):
+    if any(kind == "URI" and v.lower().startswith("sip:") for kind, v in subject_alt_name):
         return tuple(uris)
     return tuple(v.lower() for kind, v in subject_alt_name if kind == "DNS" and not v.startswith("*"))
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -51,6 +51,8 @@
         ((("URI", "sip:user@x1.midlands"), ("DNS", "x1.midlands")), ()),
         ((("URI", "sip:x1.midlands:5061"),), ()),
         ((("URI", "sips:x1.midlands"), ("URI", "https://x1.midlands"), ("DNS", "*.midlands")), ()),
+        ((("URI", "sip:"), ("DNS", "x1.midlands")), ()),
+        ((("DNS", "sip:x1.midlands"),), ("sip:x1.midlands",)),
         ((("email", "x1.midlands"), ("DirName", "x1.midlands")), ()),
         ((), ()),
     ],
@@ -420,6 +422,9 @@
         lambda site, p: (Authority.make(p / "b", "test", NOW).issue("x1.t", NOW).parent, "x1.t"),
         "certificate",
     ),
+    "self-signed": (
+        lambda site, p: (Authority.make(p / "c", "x1.t", NOW).folder, "ca"), "certificate",
+    ),
     "expired": (lambda site, p: (site.ca.issue("x1.t", NOW - 9999, 1, "old").parent, "old"), "expired"),
     "not yet valid": (
         lambda site, p: (site.ca.issue("x1.t", NOW + 9999, 1, "new").parent, "new"), "not valid for another",
