Reread: proofs judged once a look, and also where keys cannot be read; dead fields out

A look at changed files judged every proof twice and spoke of the own certificate three times; a SIGHUP before the engine stood met an assertion. Tls.version and two counts of the strangers were read by nobody.

--- a/eiderstep/server/doors.py
+++ b/eiderstep/server/doors.py
@@ -334,7 +334,8 @@
             return
         if self.keys.changed():
             self.rekey()
-        self._judge()
+        else:
+            self._judge()
         self.loop.call_later(self.keys.tls.look / SECOND, self._look)
 
     def rekey(self) -> None:
@@ -342,15 +343,13 @@
 
         No call is cut: the new link stands beside the old one, and what stands there stays until it ends.
         """
-        if self.keys is None:
+        if self.keys is None or self.engine is None:
             return
         before = self.keys.own.serial
         try:
             self.keys.load()
         except KeysError as problem:
             self._say("error", "keys not read", "", {"why": str(problem)})
-            return
-        self._own_key()
         self._judge()
         if self.keys.own.serial != before:
             self.log("info", "keys read", "", {"serial": f"{self.keys.own.serial:x}"})
--- a/eiderstep/server/tls.py
+++ b/eiderstep/server/tls.py
@@ -103,10 +103,6 @@
     def resumed(self) -> bool:
         return bool(self._object.session_reused)
 
-    @property
-    def version(self) -> str:
-        return self._object.version() or ""
-
     def _handshake(self) -> None:
         try:
             self._object.do_handshake()
--- a/eiderstep/standin/stranger.py
+++ b/eiderstep/standin/stranger.py
@@ -232,18 +232,15 @@
         self.idle: list[Any] = []
         self.sent: dict[str, int] = {}
         self.statuses: dict[int, int] = {}
-        self.dials = self.shut_out = 0
         self.over = False
 
     async def connect(self, host: str) -> Wire | None:
         """A connection from an address; None where it is closed at once."""
-        self.dials += 1
         try:
             _, wire = await self.loop.create_connection(
                 Wire, *split_address(self.server), local_addr=(host, 0)
             )
         except OSError:
-            self.shut_out += 1
             return None
         return wire
 
