A call server on the users' platform: ISUP codec, call table, links, change log

The users put eiderstep into service on their own platform and measure the running program. Need: one more way in and out over the same decisions.

- isup: types, causes and parameters, an incremental parser that judges a length by its two bytes.
- node: the call table without I/O (calls, records, mapping), what callers may cost (bounds), connections, links to offices, the change log on registry's HTTP client, the configuration, the process.
- engine/timers: the heap of timers and the Decider protocol, moved out of legs and core.
- server/watch: the watch for own stalls and the collector's settings, moved out of node and process.

--- a/eiderstep/engine/core.py
+++ b/eiderstep/engine/core.py
@@ -8,10 +8,9 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 from eiderstep import interface as io
 from eiderstep.config.schema import ServerSettings
@@ -21,6 +20,7 @@
 from eiderstep.engine.calls import Attempt, AttemptState, Call, CallState
 from eiderstep.engine.legs import OPEN
 from eiderstep.engine.requests import Requests
+from eiderstep.engine.timers import Mind
 from eiderstep.sip import fields
 from eiderstep.sip.dialog import Dialog, acknowledge
 from eiderstep.sip.message import Message, in_angle, request, response
@@ -33,15 +33,6 @@
 BEGINNING = ("INVITE", "OPTIONS", "NOTIFY", "REGISTER", "SUBSCRIBE", "MESSAGE")
 
 
-class Decider(Protocol):
-    """What the engine asks: the module, or in a lab something to compare it with."""
-
-    def handle(self, now: int, events: list[io.Event]) -> list[io.Action]: ...
-
-
-Mind = Callable[[io.Settings, int], Decider]  # from settings and seed
-
-
 class ProbeOut:
     """An OPTIONS that the module asked for."""
 
@@ -162,16 +153,11 @@
         """Run what is due."""
         self.transactions.due(now)
         self._take(now)
-        while self._heap and self._heap[0][0] <= now:
-            what = heapq.heappop(self._heap)[2].what
-            if what is not None:
-                what(now)
+        self.timers.run(now)
 
     def next_due(self) -> int | None:
         """When `due` is wanted next (ns)."""
-        while self._heap and self._heap[0][2].what is None:
-            heapq.heappop(self._heap)
-        mine, theirs = self._heap[0][0] if self._heap else NEVER, self.transactions.next_due() or NEVER
+        mine, theirs = self.timers.next_due() or NEVER, self.transactions.next_due() or NEVER
         return min(mine, theirs) if min(mine, theirs) < NEVER else None
 
     def stop(self, now: int) -> None:
--- a/eiderstep/engine/legs.py
+++ b/eiderstep/engine/legs.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -16,6 +15,7 @@
 from eiderstep.engine import mapping
 from eiderstep.engine.calls import Attempt, AttemptState, Call, CallState
 from eiderstep.engine.circuits import Ledger
+from eiderstep.engine.timers import Entry, Timers
 from eiderstep.sip import fields
 from eiderstep.sip.dialog import cancel
 from eiderstep.sip.message import Message, response
@@ -27,18 +27,6 @@
 OPEN = (AttemptState.OUT, AttemptState.CANCELLING)
 
 
-class Entry:
-    """A timer.  Called off it stays in the heap, but holds nothing alive."""
-
-    __slots__ = ("what",)
-
-    def __init__(self, what: Callable[[int], None]) -> None:
-        self.what: Callable[[int], None] | None = what
-
-    def call_off(self) -> None:
-        self.what = None
-
-
 class Legs:
     """The call table and what stands on it.  `here` is the `host:port` that goes into Via and Contact."""
 
@@ -67,8 +55,7 @@
         self.verbose = False
         self.meter: Meter | None = None
         self.counts: dict[str, int] = {}
-        self._heap: list[tuple[int, int, Entry]] = []
-        self._entries = 0
+        self.timers = Timers()
         self.book = Book(settings)
         self.forgotten: dict[tuple[str, str], int] = {}  # set-ups dropped without a final word, latest last
         self.parties: dict[int, Party] = {}  # by flow; one that nobody introduced is nobody's
@@ -102,10 +89,7 @@
 
     def _at(self, due: int, what: Callable[[int], None]) -> Entry:
         """Do something at a time; the entry can be called off."""
-        self._entries += 1
-        entry = Entry(what)
-        heapq.heappush(self._heap, (due, self._entries, entry))
-        return entry
+        return self.timers.at(due, what)
 
     def _log(self, level: str, event: str, call: str = "", **more: Any) -> None:
         if level != "debug" or self.verbose:
--- a/eiderstep/lab/day.py
+++ b/eiderstep/lab/day.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from eiderstep.audit import Capture, Verdict, judge
-from eiderstep.engine.core import Mind
+from eiderstep.engine.timers import Mind
 from eiderstep.lab.clock import VirtualLoop
 from eiderstep.lab.emulator.samples import EVERY, Sample, take
 from eiderstep.lab.emulator.stage import Stage
--- a/eiderstep/lab/emulator/rehearse.py
+++ b/eiderstep/lab/emulator/rehearse.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from eiderstep.audit import Capture
-from eiderstep.engine.core import Mind
+from eiderstep.engine.timers import Mind
 from eiderstep.lab import day as days
 from eiderstep.lab.emulator.scenario import Draws, Expect, Scenario, load
 from eiderstep.lab.script import SECOND, VIRTUAL, Trouble
--- a/eiderstep/lab/world.py
+++ b/eiderstep/lab/world.py
@@ -22,7 +22,7 @@
     Sizing,
     Trust,
 )
-from eiderstep.engine.core import Mind
+from eiderstep.engine.timers import Mind
 from eiderstep.lab.clock import VirtualLoop
 from eiderstep.lab.emulator.conditions import Conditions
 from eiderstep.lab.emulator.hosts import Host
--- /dev/null
+++ b/eiderstep/node/bounds.py
@@ -0,0 +1,59 @@
+"""What callers may cost: connections, silence, floods.  No I/O, no clock, no office, no route."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+SECOND = 1_000_000_000
+MS = 1_000_000
+SPEAK = 2_500 * MS  # a connection has to say a whole message within this
+SHARE = 0.6  # of the descriptors: connections from callers; the rest is for all else
+OPEN_AT_ONCE = 100  # set-ups open on one connection
+
+
+class Door:
+    """One connection from a caller."""
+
+    __slots__ = ("came", "flow", "open", "source", "spoke")
+
+    def __init__(self, flow: int, source: str, now: int) -> None:
+        self.flow, self.source, self.came = flow, source, now
+        self.spoke = False
+        self.open = 0
+
+
+class Bounds:
+    """All connections from callers, the longest unused first."""
+
+    def __init__(self, sockets: int) -> None:
+        self.most = max(int(sockets * SHARE), 16)
+        self.doors: OrderedDict[int, Door] = OrderedDict()
+
+    def came(self, now: int, flow: int, source: str) -> int | None:
+        """A connection came in.  Which one is closed for it, None where there is room; itself, if none may.
+
+        Danger: hundreds that say nothing, or that keep a connection for good, would use up the descriptors,
+        and no caller, office or change log could be spoken with.  Those that have said nothing go first, then
+        those longest unused; one with a set-up open never goes.
+        """
+        self.doors[flow] = Door(flow, source, now)
+        if len(self.doors) <= self.most:
+            return None
+        silent = next((f for f, door in self.doors.items() if not door.spoke and f != flow), None)
+        if silent is not None:
+            return silent
+        return next((f for f, door in self.doors.items() if not door.open), flow)
+
+    def spoke(self, flow: int) -> None:
+        """A whole message came on it."""
+        door = self.doors.get(flow)
+        if door is not None:
+            door.spoke = True
+            self.doors.move_to_end(flow)
+
+    def closed(self, flow: int) -> None:
+        self.doors.pop(flow, None)
+
+    def late(self, now: int) -> list[int]:
+        """Connections whose time to say something is over."""
+        return [f for f, door in self.doors.items() if not door.spoke and now - door.came >= SPEAK]
--- /dev/null
+++ b/eiderstep/node/calls.py
@@ -0,0 +1,503 @@
+"""The call table on the platform's wire: sans-I/O, no clock, no routing.
+
+In: messages of callers and offices, links and connections that come and go, the list of offices, the time.
+Out: `out` (flow, bytes) and the effects that `flush` returns.  Each set-up is offered to the module, and each
+of its actions is carried out as it stands.  Flows are numbers that the host gives to connections.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from eiderstep import interface as io
+from eiderstep.decide import Controller
+from eiderstep.engine import effects as fx
+from eiderstep.engine.timers import Mind, Timers
+from eiderstep.isup import message as isup
+from eiderstep.isup.message import Message
+from eiderstep.node import mapping
+from eiderstep.node.records import Attempt, AttemptState, Call, CallState
+
+MS = 1_000_000
+SECOND = 1000 * MS
+OPEN = (AttemptState.WAITING, AttemptState.OUT)
+ENDED_KEPT = 4096  # ends of calls that we do not know, remembered for an `at` that crosses them
+OWED_FOR = 8 * SECOND  # the platform waits so long for a release that no connection could take
+LONGEST_HOLDS = 30  # mean holding times; one call in ten million millions stands longer
+
+
+class Calls:
+    """One call server's calls.  `flush` hands what happened to the module and carries out what it says."""
+
+    def __init__(
+        self, settings: io.Settings, names: Sequence[str], dial_time: int, seed: int, mind: Mind | None = None
+    ) -> None:
+        """`names`: of the classes; `dial_time`: how long a set-up waits for a link (ns)."""
+        self.settings, self.dial_time = settings, dial_time
+        self.reader = mapping.Reader(settings, names)
+        self.mind = (mind or Controller)(settings, seed)
+        self.calls: dict[str, Call] = {}
+        self.offices: dict[str, io.OfficeState] = {}
+        self.links: dict[str, list[int]] = {}  # flows by office
+        self.linked: dict[int, str] = {}  # office by flow
+        self.on_link: dict[int, dict[str, Attempt]] = {}  # set-ups out on a flow
+        self.waiting: dict[str, list[Attempt]] = {}  # for a link, by office
+        self.callers: dict[int, str] = {}  # source by flow
+        self.asked: dict[int, set[str]] = {}  # calls that a caller's flow waits for
+        self.standing: dict[str, set[str]] = {}  # calls that stand, by office
+        self.owed: dict[str, dict[str, tuple[int, bytes]]] = {}  # office or source: what no flow could take
+        self.ends: OrderedDict[str, int] = OrderedDict()  # calls unknown here whose end was told, and cause
+        self.timers = Timers()
+        self.events: list[io.Event] = []
+        self.effects: list[fx.Effect] = []
+        self.out: list[tuple[int, bytes]] = []
+        self.counts: dict[str, int] = {}
+        self.longest = LONGEST_HOLDS * max(c.mean_hold for c in settings.classes)
+
+    # -- callers -------------------------------------------------------------------------------------------
+
+    def caller_came(self, flow: int, source: str) -> None:
+        """A connection from a caller.  What is owed to its source goes there."""
+        self.callers[flow], self.asked[flow] = source, set()
+
+    def caller_spoke(self, now: int, flow: int, message: Message, waited: int = 0) -> bool:
+        """A message of a caller; `waited`: how long it may have lain unread (ns).
+
+        Tells whether the connection is of further use.
+        """
+        if flow in self.callers:
+            self._pay(now, self.callers[flow], flow)
+        if message.kind == isup.IAM:
+            return self._set_up(now, flow, message, waited)
+        if message.kind == isup.REL:
+            self._caller_released(now, message)
+        elif message.kind == isup.TEST:
+            passed = {isup.CAUSE: b"\1"}
+            self.out.append((flow, Message(isup.TESTED, message.call, passed).encode()))
+        elif message.kind not in (isup.RLC, isup.ACM):
+            self._count("unfit from callers")
+            return False
+        return True
+
+    def caller_lost(self, now: int, flow: int) -> None:
+        """A caller's connection is gone: nobody waits for the set-ups open on it; what stands goes on."""
+        self.callers.pop(flow, None)
+        for name in self.asked.pop(flow, ()):
+            self._gone(now, self.calls[name])
+
+    def _set_up(self, now: int, flow: int, message: Message, waited: int) -> bool:
+        """Danger: a set-up under the id of a call that lives would end that one's attempts or take its
+        answer.  It is refused where another connection holds the id; where its own does, a refusal would be
+        read as the first one's, so the connection goes.  Hurts a caller that draws one id twice.
+        """
+        try:
+            offer = self.reader.offer(now - waited, message)
+        except mapping.Unfit as unfit:
+            self._count("unfit set-ups")
+            self._log("info", "set-up not served", why=str(unfit), flow=flow)
+            if message.call in self.asked.get(flow, ()):
+                return False
+            self.out.append((flow, isup.release(message.call, isup.INVALID)))
+            return True
+        held = self.calls.get(message.call)
+        if isinstance(offer, str):
+            self._stands_already(now, flow, message, offer, held)
+            return True
+        if held is not None:
+            self._count("ids used twice")
+            if message.call in self.asked.get(flow, ()):
+                return False
+            self.out.append((flow, isup.release(message.call, isup.TEMPORARY)))
+            return True
+        self.calls[message.call] = Call(message, offer, flow)
+        self.asked[flow].add(message.call)
+        self.events.append(offer)
+        return True
+
+    def _stands_already(self, now: int, flow: int, message: Message, office: str, held: Call | None) -> None:
+        """`at`: a call that stands at an office, told to us who know nothing of it after a restart.
+
+        Danger: its end may have come first, on the link that we opened; then it would stand here for ever.
+        """
+        if held is not None:
+            if held.state is CallState.STANDING and held.flow not in self.callers:
+                held.flow, held.source = flow, self.callers.get(flow, held.source)
+            return
+        ended = self.ends.pop(message.call, None)
+        if ended is not None or office not in self.offices:
+            self.out.append((flow, isup.release(message.call, isup.TEMPORARY if ended is None else ended)))
+            if ended is not None:
+                self._to_office(now, office, message.call, ended)
+            return
+        call = self.calls[message.call] = Call(message, None, flow)
+        call.source = self.callers.get(flow, "")
+        self._stands(now, call, office)
+
+    def _caller_released(self, now: int, message: Message) -> None:
+        """The set-up is given up, or the caller ends a call that stands; on whatever connection."""
+        call = self.calls.get(message.call)
+        if call is None:
+            self._remember_end(message.call, message.cause or isup.NORMAL)
+        elif call.state is CallState.OFFERED:
+            self._gone(now, call)
+        else:
+            self._over(now, call, io.Outcome.CANCELLED, message.cause or isup.NORMAL, True, False)
+
+    def _gone(self, now: int, call: Call) -> None:
+        """The caller waits no more: no answer is owed, and what is out for it is given up."""
+        self.events.append(io.CallGone(call.name))
+        attempt = call.attempt
+        self._answered(call)
+        if attempt is not None and attempt.state in OPEN:
+            self._give_up(now, attempt, io.Outcome.CANCELLED, True)
+
+    def _answered(self, call: Call) -> None:
+        """No answer is owed any more."""
+        call.state = CallState.OVER
+        self.calls.pop(call.name, None)
+        waiting = self.asked.get(call.flow)
+        if waiting is not None:
+            waiting.discard(call.name)
+
+    # -- offices -------------------------------------------------------------------------------------------
+
+    def news(self, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
+        """The list of offices has changed."""
+        if kind not in (io.ListKind.CHANGES, io.ListKind.FAILED):
+            self.offices.clear()
+        for entry in entries:
+            if entry.state is io.OfficeState.GONE:
+                self.offices.pop(entry.office, None)
+            else:
+                self.offices[entry.office] = entry.state
+        self.events.append(io.OfficeList(kind, entries))
+
+    def link_up(self, now: int, office: str, flow: int) -> None:
+        """A link to an office stands: what waited for one goes out."""
+        self.linked[flow] = office
+        self.on_link[flow] = {}
+        self.links.setdefault(office, []).append(flow)
+        self._pay(now, office, flow)
+        for attempt in self.waiting.pop(office, ()):
+            if attempt.state is AttemptState.WAITING:
+                self._transmit(now, attempt, flow)
+
+    def link_lost(self, now: int, flow: int, silent: bool = False) -> None:
+        """A link is gone: each set-up on it ends once, and what stands goes on.
+
+        `silent`: it was given up because nothing came, so nothing was heard of the set-ups either.
+        """
+        office = self.linked.pop(flow, "")
+        flows = self.links.get(office, [])
+        if flow in flows:
+            flows.remove(flow)
+        if not flows:
+            self.links.pop(office, None)
+        outcome = io.Outcome.NO_ANSWER if silent else io.Outcome.CUT
+        for attempt in self.on_link.pop(flow, {}).values():
+            if attempt.state is AttemptState.OUT:
+                self._end(now, attempt, outcome, io.Cause.NONE, None, False)
+
+    def unreachable(self, now: int, office: str) -> None:
+        """No link to an office came up: what waited for one ends, and proves that it never ran."""
+        for attempt in self.waiting.pop(office, ()):
+            if attempt.state is AttemptState.WAITING:
+                self._end(now, attempt, io.Outcome.UNREACHABLE, io.Cause.NONE, None, False)
+
+    def office_lost(self, now: int, office: str) -> None:
+        """An office is dead, or counts as dead, so long has it been silent: what stood there is cut."""
+        for name in list(self.standing.get(office, ())):
+            self._over(now, self.calls[name], io.Outcome.CUT, isup.TEMPORARY, True, True)
+
+    def office_spoke(self, now: int, flow: int, message: Message) -> bool:
+        """A message of an office.  Tells whether the link is of further use."""
+        office = self.linked.get(flow)
+        if office is None:
+            return False
+        kind, call = message.kind, self.calls.get(message.call)
+        if kind == isup.STATE:
+            report = mapping.report(message)
+            if report is None:
+                return False
+            self.events.append(io.OfficeHeard(office, True, True, 0, report))
+        elif kind == isup.ANM:
+            return self._answer(now, flow, message)
+        elif kind == isup.REL:
+            attempt = self.on_link[flow].get(message.call)
+            if attempt is not None and attempt.state is AttemptState.OUT:
+                return self._refused(now, attempt, message)
+            if call is not None and call.state is CallState.STANDING and call.office == office:
+                cut = message.cause != isup.NORMAL
+                outcome = io.Outcome.CUT if cut else io.Outcome.RELEASED
+                report = mapping.report(message)
+                self._over(now, call, outcome, message.cause or isup.TEMPORARY, False, True, report)
+            elif call is None:
+                self._remember_end(message.call, message.cause or isup.NORMAL)
+            self.out.append((flow, Message(isup.RLC, message.call).encode()))
+        elif kind in (isup.IAM, isup.TEST):
+            self._count("unfit from offices")
+            return False
+        return True
+
+    def _answer(self, now: int, flow: int, message: Message) -> bool:
+        """Danger: a second answer, one of an id that nobody sent there, or one that crossed our giving up is
+        not this call's.  It is dropped; an office that answered what we gave up has our release on its way.
+        """
+        attempt = self.on_link[flow].get(message.call)
+        if attempt is None or attempt.state is not AttemptState.OUT:
+            self._count("answers dropped")
+            return True
+        if now >= attempt.until:
+            self._until(now, attempt)
+            return True
+        description = message.parameters.get(isup.DESCRIPTION)
+        if not mapping.readable(description):
+            self._count("answers spoilt")
+            return False
+        call = attempt.call
+        attempt.state = AttemptState.OVER
+        self._off_link(attempt)
+        self.events.append(io.CallStands(call.name, attempt.leg, attempt.office, now - attempt.sent_at))
+        report = mapping.report(message)
+        if report is not None and isup.REPORT in message.parameters:
+            self.events.append(io.OfficeHeard(attempt.office, False, True, now - attempt.sent_at, report))
+        assert description is not None
+        passed = Message(isup.ANM, call.name, {isup.DESCRIPTION: description})
+        self.out.append((call.flow, passed.encode()))
+        self.asked[call.flow].discard(call.name)
+        self._stands(now, call, attempt.office)
+        return True
+
+    def _refused(self, now: int, attempt: Attempt, message: Message) -> bool:
+        report = mapping.report(message)
+        if report is None or message.cause is None:
+            self._count("releases spoilt")
+            return False
+        outcome, cause = mapping.outcome(message)
+        attempt.state = AttemptState.OVER
+        self._end(now, attempt, outcome, cause, report, False)
+        return True
+
+    # -- what stands ---------------------------------------------------------------------------------------
+
+    def _stands(self, now: int, call: Call, office: str) -> None:
+        call.state, call.office, call.source = CallState.STANDING, office, self.callers.get(call.flow, "")
+        call.slim()
+        self.standing.setdefault(office, set()).add(call.name)
+        call.guard = self.timers.at(now + self.longest, lambda at: self._too_long(at, call))
+
+    def _too_long(self, now: int, call: Call) -> None:
+        """Danger: a call whose end was never told, or that an `at` made up, would be held for ever."""
+        self._count("ended as too long")
+        self._over(now, call, io.Outcome.CUT, isup.RECOVERY, True, True)
+
+    def _over(
+        self, now: int, call: Call, outcome: io.Outcome, cause: int, to_office: bool, to_caller: bool,
+        report: io.LoadReport | None = None,
+    ) -> None:  # fmt: skip
+        """A call that stood is over; whoever does not know yet is told."""
+        call.state = CallState.OVER
+        del self.calls[call.name]
+        if call.guard is not None:
+            call.guard.call_off()
+        names = self.standing[call.office]
+        names.discard(call.name)
+        if not names:
+            del self.standing[call.office]
+        if call.attempt is not None:
+            took, leg = now - call.attempt.sent_at, call.attempt.leg
+            self.events.append(
+                io.AttemptEnded(
+                    call.name, leg, call.office, outcome, io.Cause.NONE, True, took, report=report
+                )
+            )
+        if to_office:
+            self._to_office(now, call.office, call.name, cause)
+        if to_caller:
+            self._to_caller(now, call, cause)
+
+    def _to_office(self, now: int, office: str, name: str, cause: int) -> None:
+        flows, data = self.links.get(office), isup.release(name, cause)
+        if flows:
+            self.out.append((flows[-1], data))
+        else:
+            self._owe(now, office, name, data)
+
+    def _to_caller(self, now: int, call: Call, cause: int) -> None:
+        """The release goes where the set-up came from, else to its source, else it waits for that source."""
+        data = isup.release(call.name, cause)
+        flow = call.flow
+        if flow not in self.callers:
+            flow = next((f for f in reversed(self.callers) if self.callers[f] == call.source), -1)
+        if flow >= 0:
+            self.out.append((flow, data))
+        else:
+            self._owe(now, call.source, call.name, data)
+
+    def _owe(self, now: int, whom: str, name: str, data: bytes) -> None:
+        owed = self.owed.setdefault(whom, {})
+        owed[name] = (now + OWED_FOR, data)
+        self.timers.at(now + OWED_FOR, lambda at: self._forgive(at, whom))
+
+    def _forgive(self, now: int, whom: str) -> None:
+        left = {name: debt for name, debt in self.owed.get(whom, {}).items() if debt[0] > now}
+        if left:
+            self.owed[whom] = left
+        else:
+            self.owed.pop(whom, None)
+
+    def _pay(self, now: int, whom: str, flow: int) -> None:
+        for until, data in self.owed.pop(whom, {}).values() if whom in self.owed else ():
+            if until > now:
+                self.out.append((flow, data))
+
+    def _remember_end(self, name: str, cause: int) -> None:
+        self.ends[name] = cause
+        self.ends.move_to_end(name)
+        if len(self.ends) > ENDED_KEPT:
+            self.ends.popitem(last=False)
+
+    # -- attempts ------------------------------------------------------------------------------------------
+
+    def _transmit(self, now: int, attempt: Attempt, flow: int) -> None:
+        call = attempt.call
+        attempt.state, attempt.flow = AttemptState.OUT, flow
+        self.on_link[flow][call.name] = attempt
+        wait = max((attempt.until - now) // MS, 1)
+        self.out.append((flow, call.set_up(wait)))
+
+    def _off_link(self, attempt: Attempt) -> None:
+        if attempt.timer is not None:
+            attempt.timer.call_off()
+        self.on_link.get(attempt.flow, {}).pop(attempt.call.name, None)
+
+    def _until(self, now: int, attempt: Attempt) -> None:
+        """The attempt's time is up: it is given up, and the module told."""
+        if attempt.state in OPEN:
+            self._give_up(now, attempt, io.Outcome.NO_ANSWER, False)
+
+    def _give_up(self, now: int, attempt: Attempt, outcome: io.Outcome, settled: bool) -> None:
+        if attempt.state is AttemptState.OUT:
+            self.out.append((attempt.flow, isup.release(attempt.call.name, isup.NORMAL)))
+        self._end(now, attempt, outcome, io.Cause.NONE, None, settled)
+
+    def _end(
+        self, now: int, attempt: Attempt, outcome: io.Outcome, cause: io.Cause,
+        report: io.LoadReport | None, settled: bool,
+    ) -> None:  # fmt: skip
+        """The one place where an attempt that never stood ends."""
+        self._off_link(attempt)
+        attempt.state = AttemptState.OVER
+        call = attempt.call
+        if call.attempt is attempt:
+            call.attempt = None
+        settled = settled or call.state is not CallState.OFFERED
+        took = now - attempt.sent_at
+        self.events.append(
+            io.AttemptEnded(call.name, attempt.leg, attempt.office, outcome, cause, settled, took, 0, report)
+        )
+
+    # -- the module's actions ------------------------------------------------------------------------------
+
+    def due(self, now: int) -> None:
+        """Run what is due."""
+        self.timers.run(now)
+
+    def next_due(self) -> int | None:
+        """When `due` is wanted next (ns)."""
+        return self.timers.next_due()
+
+    def flush(self, now: int) -> list[fx.Effect]:
+        """Hand the events of this moment to the module, carry out its actions, until nothing is left."""
+        while self.events:
+            events, self.events = self.events, []
+            for action in self.mind.handle(now, events):
+                ACTIONS[type(action)](self, now, action)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _send(self, now: int, action: io.Send) -> None:
+        call = self.calls.get(action.call)
+        if call is None or call.state is not CallState.OFFERED or call.attempt is not None:
+            # Its end stood in the batch that the module has just answered: nothing goes out.
+            leg = call.legs if call is not None else 0
+            self.events.append(
+                io.AttemptEnded(action.call, leg, action.office, io.Outcome.NOT_SENT, io.Cause.NONE, True, 0)
+            )
+            return
+        until = min(action.until or call.expires, call.expires)
+        attempt = call.attempt = Attempt(call, call.legs, action.office, now, until)
+        call.legs += 1
+        if until <= now or action.office not in self.offices:
+            outcome = io.Outcome.NO_ANSWER if until <= now else io.Outcome.UNREACHABLE
+            self._end(now, attempt, outcome, io.Cause.NONE, None, False)
+            return
+        attempt.timer = self.timers.at(until, lambda at: self._until(at, attempt))
+        flows = self.links.get(action.office)
+        if flows:
+            self._transmit(now, attempt, min(flows, key=lambda flow: len(self.on_link[flow])))
+            return
+        self.waiting.setdefault(action.office, []).append(attempt)
+        self.effects.append(fx.Dial(action.office))
+        self.timers.at(now + self.dial_time, lambda at: self._never_dialled(at, attempt))
+
+    def _never_dialled(self, now: int, attempt: Attempt) -> None:
+        if attempt.state is AttemptState.WAITING:
+            self._end(now, attempt, io.Outcome.UNREACHABLE, io.Cause.NONE, None, False)
+
+    def _refuse(self, now: int, action: io.Refuse) -> None:
+        self._final(now, action.call, isup.CONGESTION, action.pause // MS)
+
+    def _abandon(self, now: int, action: io.Abandon) -> None:
+        self._final(now, action.call, isup.UNSPECIFIED, 0)
+
+    def _final(self, now: int, name: str, cause: int, pause: int) -> None:
+        call = self.calls.get(name)
+        if call is None or call.state is not CallState.OFFERED:
+            return
+        if call.flow in self.callers:
+            self.out.append((call.flow, isup.release(name, cause, pause)))
+        attempt = call.attempt
+        self._answered(call)
+        if attempt is not None and attempt.state in OPEN:
+            self._give_up(now, attempt, io.Outcome.CANCELLED, True)
+
+    def _cancel(self, now: int, action: io.Cancel) -> None:
+        call = self.calls.get(action.call)
+        attempt = call.attempt if call is not None else None
+        if attempt is not None and attempt.leg == action.leg and attempt.state in OPEN:
+            self._give_up(now, attempt, io.Outcome.CANCELLED, False)
+
+    def _set_timer(self, now: int, action: io.SetTimer) -> None:
+        token = action.token
+        self.timers.at(action.due, lambda at: self.events.append(io.TimerDue(token)))
+
+    def _probe(self, now: int, action: io.Probe) -> None:
+        """The platform has no message for it: settings allow none, and none is answered."""
+        self.events.append(io.OfficeHeard(action.office, False, False, 0, io.LoadReport()))
+
+    def _subscribe(self, now: int, action: io.Subscribe) -> None:
+        """The change log is followed all the time."""
+
+    def _note(self, now: int, action: io.Note) -> None:
+        self._log("warning", action.text)
+
+    def _log(self, level: str, event: str, call: str = "", **more: Any) -> None:
+        self.effects.append(fx.Log(level, event, call, more))
+
+    def _count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+
+ACTIONS: dict[type, Callable[[Calls, int, Any], None]] = {
+    io.Send: Calls._send,
+    io.Refuse: Calls._refuse,
+    io.Abandon: Calls._abandon,
+    io.Cancel: Calls._cancel,
+    io.SetTimer: Calls._set_timer,
+    io.Probe: Calls._probe,
+    io.Subscribe: Calls._subscribe,
+    io.Note: Calls._note,
+}
--- a/eiderstep/registry/http.py
+++ b/eiderstep/registry/http.py
@@ -13,11 +13,12 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import httptools
 
-from eiderstep.config.schema import Registry, Tls
+if TYPE_CHECKING:  # the platform's call server has no room for the settings' library
+    from eiderstep.config.schema import Registry, Tls
 
 SECOND = 1_000_000_000
 PIECE = 1 << 15  # bytes read at a time, once unpacked
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -13,9 +13,11 @@
 from eiderstep import interface as io
 from eiderstep.config.schema import ServerSettings
 from eiderstep.engine import effects as fx
-from eiderstep.engine.core import Engine, Mind
+from eiderstep.engine.core import Engine
+from eiderstep.engine.timers import Mind
 from eiderstep.server.doors import Doors, Logger
 from eiderstep.server.lists import Lists
+from eiderstep.server.watch import BEAT, StallWatch
 from eiderstep.server.wire import DatagramWire, Trace
 from eiderstep.sip.message import split_address
 from eiderstep.sizing.meter import Meter
@@ -23,9 +25,6 @@
 
 SECOND = 1_000_000_000
 THIN_EVERY = 3600 * SECOND
-BEAT = 0.1  # seconds between two looks at whether we have run
-STALLED = SECOND // 4  # a gap between them from which we have not
-WAKING = SECOND // 10  # for that long after it what we read may have waited for us
 LAST_WORDS = 1.0  # seconds that a stop waits for the answers to its own releases
 
 # Log lines that whoever connects can provoke: written at a bounded rate for each source.
@@ -57,7 +56,7 @@
         self.lists = Lists(self)
         self.store: Store | None = None
         self.thinned = 0
-        self.beaten = self.asleep = self.awake = 0  # last beat; the last stall, from and until
+        self.watch = StallWatch()
 
     async def start(self) -> None:
         """Bind, dial the peers once, follow the register, then serve."""
@@ -144,25 +143,15 @@
         """See whether this process has run all the time."""
         if self.ended or self.engine is None:
             return
-        now = self.now()
-        self._waited(now)
-        self.beaten = now
+        self._waited(self.now())
+        self.watch.beat(self.now())
         self.loop.call_later(BEAT, self._beat)
 
     def _waited(self, now: int) -> int:
-        """How long what is read now may have lain unread (ns): a stall's length, right after one.
-
-        Danger: a process that was frozen finds INVITEs of callers whose time has run meanwhile; counted from
-        the reading, they are answered too late.  Covers pauses of the host, of the garbage collector, of a
-        callback that took long.  Hurts where a call came at the end of a stall: it is held to be older than
-        it is, and is refused earlier than need be.
-        """
-        if self.beaten and now - self.beaten > STALLED:
-            if self.awake != now:
-                self.log("warning", "stalled", "", {"ms": (now - self.beaten) // 1_000_000})
-            self.asleep, self.awake = self.beaten, now
-            self.beaten = now
-        return now - self.asleep if self.awake and now <= self.awake + WAKING else 0
+        waited = self.watch.waited(now)
+        if self.watch.fresh:
+            self.log("warning", "stalled", "", {"ms": self.watch.fresh // 1_000_000})
+        return waited
 
     # -- the engine's wishes -------------------------------------------------------------------------------
 
--- a/eiderstep/server/process.py
+++ b/eiderstep/server/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import signal
 import time
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 from eiderstep.config.schema import ServerSettings
 from eiderstep.server.doors import Logger
 from eiderstep.server.node import CallServer
+from eiderstep.server.watch import settle_collector
 from eiderstep.server.wire import Trace
 
 
@@ -87,12 +87,7 @@
     await server.start()
     assert server.engine is not None
     server.engine.verbose = verbose
-    # Danger: a full collection among thousands of standing calls stops the loop for tenths of a second.
-    # What is over is freed by its count alone; the collector is for what slips through: small young
-    # collections, often, and full ones rarely.  Hurts where memory is short and something does slip through.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(2_000, 10, 1_000)
+    settle_collector()
     if early:
         server.stop()
     await server.stopped
--- a/setup.py
+++ b/setup.py
@@ -9,7 +9,7 @@
 
 COMPILED = {
     "sip": ("message", "parser", "fields", "dialog", "transaction"),
-    "engine": ("circuits", "calls", "effects", "offers", "mapping", "legs", "requests", "core"),
+    "engine": ("timers", "circuits", "calls", "effects", "offers", "mapping", "legs", "requests", "core"),
 }
 
 
