A link counts from its first byte; releases go out again when a connection is lost

Ruled out: the table (open, out and standing agree with the bytes in all looks but three, which lie between two bytes of one batch). At fault: links.py counted a link only when the dialling task went on, a turn of the loop after its first bytes could be read, and server.py passed over what came before.

--- a/eiderstep/node/__main__.py
+++ b/eiderstep/node/__main__.py
@@ -13,7 +13,6 @@
 from eiderstep.node import config as configuration
 from eiderstep.node.config import Config, ConfigError
 from eiderstep.node.server import Node
-from eiderstep.server.watch import settle_collector
 
 
 async def serve(config: Config, environ: Mapping[str, str]) -> None:
@@ -24,7 +23,6 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
     await node.start()
-    settle_collector()
     await node.stopped
 
 
--- a/eiderstep/node/bounds.py
+++ b/eiderstep/node/bounds.py
@@ -3,23 +3,22 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 
 SECOND = 1_000_000_000
 MS = 1_000_000
 SPEAK = 2_500 * MS  # a connection has to say a whole message within this
 SHARE = 0.6  # of the descriptors: connections from callers; the rest is for all else
-OPEN_AT_ONCE = 100  # set-ups open on one connection
 
 
 class Door:
     """One connection from a caller."""
 
-    __slots__ = ("came", "flow", "open", "source", "spoke")
+    __slots__ = ("came", "source", "spoke")
 
-    def __init__(self, flow: int, source: str, now: int) -> None:
-        self.flow, self.source, self.came = flow, source, now
+    def __init__(self, source: str, now: int) -> None:
+        self.source, self.came = source, now
         self.spoke = False
-        self.open = 0
 
 
 class Bounds:
@@ -29,20 +28,23 @@
         self.most = max(int(sockets * SHARE), 16)
         self.doors: OrderedDict[int, Door] = OrderedDict()
 
-    def came(self, now: int, flow: int, source: str) -> int | None:
+    def came(self, now: int, flow: int, source: str, weight: Callable[[int], int]) -> int | None:
         """A connection came in.  Which one is closed for it, None where there is room; itself, if none may.
 
+        `weight` of a flow: 0 where no call hangs on it, 1 where calls stand, 2 where a set-up is open.
+
         Danger: hundreds that say nothing, or that keep a connection for good, would use up the descriptors,
         and no caller, office or change log could be spoken with.  Those that have said nothing go first, then
         those longest unused; one with a set-up open never goes.
         """
-        self.doors[flow] = Door(flow, source, now)
+        self.doors[flow] = Door(source, now)
         if len(self.doors) <= self.most:
             return None
         silent = next((f for f, door in self.doors.items() if not door.spoke and f != flow), None)
         if silent is not None:
             return silent
-        return next((f for f, door in self.doors.items() if not door.open), flow)
+        light = min((f for f in self.doors if f != flow), key=weight, default=flow)
+        return light if weight(light) < 2 else flow
 
     def spoke(self, flow: int) -> None:
         """A whole message came on it."""
--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -18,13 +18,13 @@
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
 from eiderstep.node import mapping
+from eiderstep.node.owed import Owed
 from eiderstep.node.records import Attempt, AttemptState, Call, CallState
 
 MS = 1_000_000
 SECOND = 1000 * MS
 OPEN = (AttemptState.WAITING, AttemptState.OUT)
 ENDED_KEPT = 4096  # ends of calls that we do not know, remembered for an `at` that crosses them
-OWED_FOR = 8 * SECOND  # the platform waits so long for a release that no connection could take
 LONGEST_HOLDS = 30  # mean holding times; one call in ten million millions stands longer
 
 
@@ -47,7 +47,9 @@
         self.callers: dict[int, str] = {}  # source by flow
         self.asked: dict[int, set[str]] = {}  # calls that a caller's flow waits for
         self.standing: dict[str, set[str]] = {}  # calls that stand, by office
-        self.owed: dict[str, dict[str, tuple[int, bytes]]] = {}  # office or source: what no flow could take
+        self.stood: dict[int, set[str]] = {}  # calls that stand, by the caller's flow
+        self.free: dict[str, int] = {}  # circuits to an office: as told last, less those sent for since
+        self.owed = Owed()
         self.ends: OrderedDict[str, int] = OrderedDict()  # calls unknown here whose end was told, and cause
         self.timers = Timers()
         self.events: list[io.Event] = []
@@ -59,7 +61,7 @@
     # -- callers -------------------------------------------------------------------------------------------
 
     def caller_came(self, flow: int, source: str) -> None:
-        """A connection from a caller.  What is owed to its source goes there."""
+        """A connection from a caller.  What is owed to its source goes there once it has spoken."""
         self.callers[flow], self.asked[flow] = source, set()
 
     def caller_spoke(self, now: int, flow: int, message: Message, waited: int = 0) -> bool:
@@ -67,8 +69,7 @@
 
         Tells whether the connection is of further use.
         """
-        if flow in self.callers:
-            self._pay(now, self.callers[flow], flow)
+        self._pay(now, self.callers[flow], flow)
         if message.kind == isup.IAM:
             return self._set_up(now, flow, message, waited)
         if message.kind == isup.REL:
@@ -76,7 +77,9 @@
         elif message.kind == isup.TEST:
             passed = {isup.CAUSE: b"\1"}
             self.out.append((flow, Message(isup.TESTED, message.call, passed).encode()))
-        elif message.kind not in (isup.RLC, isup.ACM):
+        elif message.kind == isup.RLC:
+            self.owed.heard(flow, message.call)
+        elif message.kind != isup.ACM:
             self._count("unfit from callers")
             return False
         return True
@@ -86,6 +89,7 @@
         self.callers.pop(flow, None)
         for name in self.asked.pop(flow, ()):
             self._gone(now, self.calls[name])
+        self._written_off(now, flow)
 
     def _set_up(self, now: int, flow: int, message: Message, waited: int) -> bool:
         """Danger: a set-up under the id of a call that lives would end that one's attempts or take its
@@ -123,7 +127,9 @@
         """
         if held is not None:
             if held.state is CallState.STANDING and held.flow not in self.callers:
-                held.flow, held.source = flow, self.callers.get(flow, held.source)
+                self._leave(held)
+                self._stand_on(held, flow)
+                held.source = self.callers[flow]
             return
         ended = self.ends.pop(message.call, None)
         if ended is not None or office not in self.offices:
@@ -132,7 +138,6 @@
                 self._to_office(now, office, message.call, ended)
             return
         call = self.calls[message.call] = Call(message, None, flow)
-        call.source = self.callers.get(flow, "")
         self._stands(now, call, office)
 
     def _caller_released(self, now: int, message: Message) -> None:
@@ -170,6 +175,7 @@
         for entry in entries:
             if entry.state is io.OfficeState.GONE:
                 self.offices.pop(entry.office, None)
+                self.free.pop(entry.office, None)
             else:
                 self.offices[entry.office] = entry.state
         self.events.append(io.OfficeList(kind, entries))
@@ -199,6 +205,7 @@
         for attempt in self.on_link.pop(flow, {}).values():
             if attempt.state is AttemptState.OUT:
                 self._end(now, attempt, outcome, io.Cause.NONE, None, False)
+        self._written_off(now, flow)
 
     def unreachable(self, now: int, office: str) -> None:
         """No link to an office came up: what waited for one ends, and proves that it never ran."""
@@ -206,6 +213,16 @@
             if attempt.state is AttemptState.WAITING:
                 self._end(now, attempt, io.Outcome.UNREACHABLE, io.Cause.NONE, None, False)
 
+    def born(self, now: int, office: str, started: int) -> None:
+        """An office has started anew: what was set up there before is cut, what came since is not.
+
+        Danger: the list tells of it later than its first calls; cut with the rest, good calls would be lost.
+        """
+        for name in list(self.standing.get(office, ())):
+            attempt = self.calls[name].attempt
+            if attempt is not None and attempt.sent_at < started:
+                self._over(now, self.calls[name], io.Outcome.CUT, isup.TEMPORARY, True, True)
+
     def office_lost(self, now: int, office: str) -> None:
         """An office is dead, or counts as dead, so long has it been silent: what stood there is cut."""
         for name in list(self.standing.get(office, ())):
@@ -221,6 +238,7 @@
             report = mapping.report(message)
             if report is None:
                 return False
+            self._told(office, report)
             self.events.append(io.OfficeHeard(office, True, True, 0, report))
         elif kind == isup.ANM:
             return self._answer(now, flow, message)
@@ -283,11 +301,30 @@
     # -- what stands ---------------------------------------------------------------------------------------
 
     def _stands(self, now: int, call: Call, office: str) -> None:
-        call.state, call.office, call.source = CallState.STANDING, office, self.callers.get(call.flow, "")
+        call.state, call.office, call.source = CallState.STANDING, office, self.callers[call.flow]
         call.slim()
         self.standing.setdefault(office, set()).add(call.name)
+        self._stand_on(call, call.flow)
         call.guard = self.timers.at(now + self.longest, lambda at: self._too_long(at, call))
 
+    def _stand_on(self, call: Call, flow: int) -> None:
+        call.flow = flow
+        self.stood.setdefault(flow, set()).add(call.name)
+
+    def _leave(self, call: Call) -> None:
+        names = self.stood.get(call.flow, set())
+        names.discard(call.name)
+        if not names:
+            self.stood.pop(call.flow, None)
+
+    def calls_on(self, flow: int) -> int:
+        """How much hangs on a caller's connection: 2 for an open set-up, 1 for a call that stands, else 0."""
+        return 2 if self.asked.get(flow) else int(flow in self.stood)
+
+    def forget(self, now: int) -> None:
+        """Now and then: let go of what nobody came for."""
+        self.owed.forget(now)
+
     def _too_long(self, now: int, call: Call) -> None:
         """Danger: a call whose end was never told, or that an `at` made up, would be held for ever."""
         self._count("ended as too long")
@@ -302,6 +339,7 @@
         del self.calls[call.name]
         if call.guard is not None:
             call.guard.call_off()
+        self._leave(call)
         names = self.standing[call.office]
         names.discard(call.name)
         if not names:
@@ -319,39 +357,36 @@
             self._to_caller(now, call, cause)
 
     def _to_office(self, now: int, office: str, name: str, cause: int) -> None:
-        flows, data = self.links.get(office), isup.release(name, cause)
+        self.owed.owe(now, office, name, isup.release(name, cause))
+        flows = self.links.get(office)
         if flows:
-            self.out.append((flows[-1], data))
-        else:
-            self._owe(now, office, name, data)
+            self._pay(now, office, flows[-1])
 
     def _to_caller(self, now: int, call: Call, cause: int) -> None:
-        """The release goes where the set-up came from, else to its source, else it waits for that source."""
-        data = isup.release(call.name, cause)
-        flow = call.flow
-        if flow not in self.callers:
-            flow = next((f for f in reversed(self.callers) if self.callers[f] == call.source), -1)
-        if flow >= 0:
-            self.out.append((flow, data))
-        else:
-            self._owe(now, call.source, call.name, data)
-
-    def _owe(self, now: int, whom: str, name: str, data: bytes) -> None:
-        owed = self.owed.setdefault(whom, {})
-        owed[name] = (now + OWED_FOR, data)
-        self.timers.at(now + OWED_FOR, lambda at: self._forgive(at, whom))
-
-    def _forgive(self, now: int, whom: str) -> None:
-        left = {name: debt for name, debt in self.owed.get(whom, {}).items() if debt[0] > now}
-        if left:
-            self.owed[whom] = left
-        else:
-            self.owed.pop(whom, None)
+        """The release goes where the set-up came from, else to its source, else where callers have calls
+        standing, else it waits for its source."""
+        self.owed.owe(now, call.source, call.name, isup.release(call.name, cause))
+        flow = call.flow if call.flow in self.callers else self._reach(call.source)
+        if flow is not None:
+            self._pay(now, call.source, flow)
+
+    def _reach(self, source: str) -> int | None:
+        """A caller's connection, the newest of that source, else the newest where a call stands."""
+        theirs = (flow for flow in reversed(self.callers) if self.callers[flow] == source)
+        return next(theirs, next((flow for flow in reversed(self.callers) if self.stood.get(flow)), None))
 
     def _pay(self, now: int, whom: str, flow: int) -> None:
-        for until, data in self.owed.pop(whom, {}).values() if whom in self.owed else ():
-            if until > now:
-                self.out.append((flow, data))
+        for name, data in self.owed.take(now, whom):
+            self.out.append((flow, data))
+            self.owed.sent(now, flow, whom, name, data)
+
+    def _written_off(self, now: int, flow: int) -> None:
+        """What was written on a lost connection and may not have arrived goes out on another."""
+        for whom in self.owed.lost(now, flow):
+            flows = self.links.get(whom)
+            other = flows[-1] if flows else self._reach(whom) if whom not in self.offices else None
+            if other is not None:
+                self._pay(now, whom, other)
 
     def _remember_end(self, name: str, cause: int) -> None:
         self.ends[name] = cause
@@ -365,6 +400,7 @@
         call = attempt.call
         attempt.state, attempt.flow = AttemptState.OUT, flow
         self.on_link[flow][call.name] = attempt
+        attempt.ran = True
         wait = max((attempt.until - now) // MS, 1)
         self.out.append((flow, call.set_up(wait)))
 
@@ -395,10 +431,22 @@
             call.attempt = None
         settled = settled or call.state is not CallState.OFFERED
         took = now - attempt.sent_at
+        if not attempt.ran and attempt.office in self.free:
+            self.free[attempt.office] += attempt.width
+            report = io.LoadReport(free=self.free[attempt.office])
+        self._told(attempt.office, report)
         self.events.append(
             io.AttemptEnded(call.name, attempt.leg, attempt.office, outcome, cause, settled, took, 0, report)
         )
 
+    def _told(self, office: str, report: io.LoadReport | None) -> None:
+        """Danger: the module takes the circuits of a set-up off the free ones as it sends it.  One that never
+        left changes nothing at the office, which then says nothing, and they would stay off until other calls
+        come or go.  So the figure is kept here too, and told again.  Hurts by what others seized meanwhile.
+        """
+        if report is not None and report.free is not None:
+            self.free[office] = report.free
+
     # -- the module's actions ------------------------------------------------------------------------------
 
     def due(self, now: int) -> None:
@@ -423,13 +471,17 @@
         if call is None or call.state is not CallState.OFFERED or call.attempt is not None:
             # Its end stood in the batch that the module has just answered: nothing goes out.
             leg = call.legs if call is not None else 0
+            report = io.LoadReport(free=self.free.get(action.office))
+            none, never = io.Cause.NONE, io.Outcome.NOT_SENT
             self.events.append(
-                io.AttemptEnded(action.call, leg, action.office, io.Outcome.NOT_SENT, io.Cause.NONE, True, 0)
+                io.AttemptEnded(action.call, leg, action.office, never, none, True, 0, 0, report)
             )
             return
         until = min(action.until or call.expires, call.expires)
         attempt = call.attempt = Attempt(call, call.legs, action.office, now, until)
         call.legs += 1
+        if action.office in self.free:
+            self.free[action.office] -= call.width
         if until <= now or action.office not in self.offices:
             outcome = io.Outcome.NO_ANSWER if until <= now else io.Outcome.UNREACHABLE
             self._end(now, attempt, outcome, io.Cause.NONE, None, False)
--- a/eiderstep/node/links.py
+++ b/eiderstep/node/links.py
@@ -42,15 +42,19 @@
         self.peers: dict[str, Peer] = {}
 
     def told(self, office: str, dial: str, started: int, gone: bool) -> None:
-        """The list names an office.  One that has started anew, or moved, is another: its links go.
+        """The list names an office.  One that has moved is another: its links go.  One that has started anew
+        has reset them itself, if its machine did not vanish, and then they are silent.
 
         Danger: a new office may have the address of one that is gone; dialled under the old name, it would be
         sent what it must not be.  So a gone one is never dialled again.
         """
         peer = self.peers.get(office)
-        if peer is not None and (started > peer.started or (dial != peer.dial and not gone)):
+        if peer is not None and dial != peer.dial and not gone:
             self._forget(peer)
             peer = None
+        if peer is not None and started > peer.started:
+            peer.started = started
+            self.node.calls.born(self.node.now(), office, started)
         if gone:
             if peer is not None:
                 peer.gone = True
@@ -73,6 +77,15 @@
         if peer is not None:
             peer.wanted.set()
 
+    def up(self, wire: Wire) -> bool:
+        """A link stands; whether it is still wanted."""
+        peer = self.peers.get(wire.office)
+        if peer is None or peer.gone or len(peer.wires) >= EACH:
+            return False
+        peer.wires.append(wire)
+        peer.heard_at = wire.heard_at
+        return True
+
     def lost(self, wire: Wire) -> None:
         peer = self.peers.get(wire.office)
         if peer is None or wire not in peer.wires:
@@ -107,7 +120,9 @@
 
     def _part(self, peer: Peer) -> None:
         """A gone office keeps its links until nothing stands there, or they break."""
-        if not self.node.calls.standing.get(peer.office) or not peer.wires:
+        calls = self.node.calls
+        busy = calls.standing.get(peer.office) or any(calls.on_link.get(w.flow) for w in peer.wires)
+        if not busy or not peer.wires:
             self._forget(peer)
 
     def _forget(self, peer: Peer) -> None:
@@ -133,18 +148,13 @@
             try:
                 dial = node.loop.create_connection(partial(Wire, node, peer.office), host, port)
                 _, wire = await asyncio.wait_for(dial, node.config.dial_time / SECOND)
+                pause = AGAIN[0]
+                assert wire.over is not None
+                await wire.over
+                continue  # at once: the end of what stands may come on the next link
             except (TimeoutError, OSError) as problem:
                 refused = isinstance(problem, ConnectionRefusedError)
                 node.unreached(peer, refused, str(problem) or "no answer")
-            else:
-                if not wire.lost:
-                    pause = AGAIN[0]
-                    peer.wires.append(wire)
-                    peer.heard_at = wire.heard_at
-                    node.link_up(wire)
-                    assert wire.over is not None
-                    await wire.over
-                    continue  # at once: the end of what stands may wait for the next link
             peer.wanted.clear()
             try:
                 await asyncio.wait_for(peer.wanted.wait(), pause * (1 + 0.25 * node.chance.random()))
--- a/eiderstep/node/records.py
+++ b/eiderstep/node/records.py
@@ -30,12 +30,13 @@
     """One call, from its set-up to its release.  `flow`: the caller's connection that it came on."""
 
     __slots__ = (
-        "attempt", "expires", "flow", "guard", "legs", "name", "office", "passed", "source", "state",
+        "attempt", "expires", "flow", "guard", "legs", "name", "office", "passed", "source", "state", "width",
     )  # fmt: skip
 
     def __init__(self, message: Message, offer: io.CallOffered | None, flow: int) -> None:
         self.name, self.flow = message.call, flow
         self.expires = offer.expires if offer is not None else 0
+        self.width = offer.width if offer is not None else 0
         self.state = CallState.OFFERED
         self.passed: dict[int, bytes] = message.parameters if offer is not None else {}  # type: ignore[assignment]
         self.legs = 0
@@ -57,10 +58,12 @@
 class Attempt:
     """One set-up sent on."""
 
-    __slots__ = ("call", "flow", "leg", "office", "sent_at", "state", "timer", "until")
+    __slots__ = ("call", "flow", "leg", "office", "ran", "sent_at", "state", "timer", "until", "width")
 
     def __init__(self, call: Call, leg: int, office: str, sent_at: int, until: int) -> None:
         self.call, self.leg, self.office, self.sent_at, self.until = call, leg, office, sent_at, until
         self.state = AttemptState.WAITING
         self.flow = -1
+        self.ran = False  # whether it ever left
+        self.width = call.width
         self.timer: Entry | None = None
--- a/eiderstep/node/server.py
+++ b/eiderstep/node/server.py
@@ -15,13 +15,13 @@
 from eiderstep.isup.message import Message
 from eiderstep.isup.parser import Unreadable
 from eiderstep.node import config as configuration
-from eiderstep.node.bounds import Bounds
+from eiderstep.node.bounds import SPEAK, Bounds
 from eiderstep.node.calls import Calls
 from eiderstep.node.changelog import Book, ChangeLog
 from eiderstep.node.config import Config, ConfigError
 from eiderstep.node.links import Links, Peer
 from eiderstep.node.wires import Wire
-from eiderstep.server.watch import StallWatch
+from eiderstep.server.watch import StallWatch, settle_collector
 from eiderstep.trust.pace import Thinner
 
 SECOND = 1_000_000_000
@@ -32,6 +32,7 @@
 READY = 0.4  # seconds that the start waits for its links
 LINGER = 1.0  # seconds after SIGTERM in which set-ups still come
 BACKLOG = 512
+UNREAD = SECOND // 2  # after which a closed connection is cut, whatever is still unread
 
 
 def write(line: str) -> None:
@@ -45,11 +46,15 @@
         self, loop: asyncio.AbstractEventLoop, config: Config, environ: Mapping[str, str],
         clock: Callable[[], int] = time.time_ns, write: Callable[[str], None] = write,
     ) -> None:  # fmt: skip
+        """Raises ConfigError where the module cannot use the settings."""
         self.loop, self.config, self.environ, self.clock, self.write = loop, config, environ, clock, write
         self.latest = 0
         self.flows = 0
         self.chance = Random(config.seed ^ 0x5EED)
-        self.calls = Calls(config.settings, config.names, config.dial_time, config.seed)
+        try:
+            self.calls = Calls(config.settings, config.names, config.dial_time, config.seed)
+        except ValueError as problem:
+            raise ConfigError(f"settings: {problem}") from None
         self.wires: dict[int, Wire] = {}
         self.bounds = Bounds(config.sockets)
         self.links = Links(self)
@@ -96,6 +101,7 @@
         end = self.loop.time() + READY
         while self.loop.time() < end and any(not p.wires for p in self.links.peers.values()):
             await asyncio.sleep(0.01)
+        settle_collector()
         host, port = self.config.listen
         try:
             self.listener = await self.loop.create_server(lambda: Wire(self), host, port, backlog=BACKLOG)
@@ -143,12 +149,15 @@
     def caller_came(self, wire: Wire) -> None:
         self.wires[wire.flow] = wire
         self.calls.caller_came(wire.flow, wire.source)
-        evicted = self.bounds.came(self.now(), wire.flow, wire.source)
+        evicted = self.bounds.came(self.now(), wire.flow, wire.source, self.calls.calls_on)
         if evicted is not None and evicted in self.wires:
             self.log("warning", "connections at their limit", source=self.wires[evicted].source)
             self.wires[evicted].abort()
 
     def link_up(self, wire: Wire) -> None:
+        if not self.links.up(wire):
+            wire.abort()
+            return
         self.wires[wire.flow] = wire
         self.calls.link_up(self.now(), wire.office, wire.flow)
         self._soon()
@@ -235,8 +244,13 @@
             return
         now = self.now()
         self.links.watch(now)
-        for flow in self.bounds.late(now):
-            self.wires[flow].close()
+        self.calls.forget(now)
+        late = set(self.bounds.late(now))
+        for wire in list(self.wires.values()):
+            if wire.closing_at and now - wire.closing_at > UNREAD:
+                wire.abort()  # it does not read what we had for it
+            elif wire.flow in late or (wire.begun_at and not wire.office and now - wire.begun_at > SPEAK):
+                wire.close()
         if self.stopping and now - self.stopping >= LINGER * SECOND:
             if not any(self.calls.asked.values()):
                 self.end()
--- a/eiderstep/node/wires.py
+++ b/eiderstep/node/wires.py
@@ -24,6 +24,7 @@
         self.transport: asyncio.Transport | None = None
         self.source = ""
         self.heard_at = self.begun_at = self.tested_at = 0  # ns; the second: of a message not whole yet
+        self.closing_at = 0
         self.lost = False
         self.over: asyncio.Future[None] | None = None  # of a link: done when it is lost
 
@@ -31,13 +32,18 @@
         self.transport = cast(asyncio.Transport, transport)
         self.heard_at = self.node.now()
         if self.office:
+            # Danger: what an office sends first may be read before whoever dialled goes on; it is the state
+            # of the group, or the end of a call.  So the link counts from here.
             self.over = self.node.loop.create_future()
+            self.node.link_up(self)
             return
         name = transport.get_extra_info("peername")
         self.source = str(name[0]) if name else "?"
         self.node.caller_came(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.closing_at:
+            return
         self.heard_at = self.node.now()
         items: list[Message | Unreadable] = self.parser.feed(data)
         if not self.parser.held:
@@ -62,7 +68,9 @@
                 self.transport.abort()
 
     def close(self) -> None:
-        if self.transport is not None:
+        """Close once all is written; nothing more is read."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.closing_at = self.node.now()
             self.transport.close()
 
     def abort(self) -> None:
