What callers may write is bounded: small reads, a rate by source and over all, calls held

Need: a caller that writes unfit set-ups at full speed. At fault: each read took 256 KiB, some 1,700 set-ups, before anybody else had a turn, and nothing slowed the next one.

Tests without sockets.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -32,10 +32,11 @@
     """One call server's calls.  `flush` hands what happened to the module and carries out what it says."""
 
     def __init__(
-        self, settings: io.Settings, names: Sequence[str], dial_time: int, seed: int, mind: Mind | None = None
-    ) -> None:
-        """`names`: of the classes; `dial_time`: how long a set-up waits for a link (ns)."""
-        self.settings, self.dial_time = settings, dial_time
+        self, settings: io.Settings, names: Sequence[str], dial_time: int, seed: int,
+        mind: Mind | None = None, most: int = 20_000,
+    ) -> None:  # fmt: skip
+        """`names`: of the classes; `dial_time`: how long a set-up waits for a link; `most`: calls held."""
+        self.settings, self.dial_time, self.most = settings, dial_time, most
         self.reader = mapping.Reader(settings, names)
         self.mind = (mind or Controller)(settings, seed)
         self.calls: dict[str, Call] = {}
@@ -106,6 +107,10 @@
             self.out.append((flow, isup.release(message.call, isup.INVALID)))
             return True
         held = self.calls.get(message.call)
+        if held is None and len(self.calls) >= self.most:
+            self._count("calls at their limit")
+            self.out.append((flow, isup.release(message.call, isup.CONGESTION)))
+            return True
         if isinstance(offer, str):
             self._stands_already(now, flow, message, offer, held)
             return True
--- a/eiderstep/node/server.py
+++ b/eiderstep/node/server.py
@@ -32,6 +32,7 @@
 READY = 0.4  # seconds that the start waits for its links
 LINGER = 1.0  # seconds after SIGTERM in which set-ups still come
 BACKLOG = 512
+READ = 16 * 1024  # bytes of one connection before the next has its turn
 UNREAD = SECOND // 2  # after which a closed connection is cut, whatever is still unread
 
 
@@ -52,11 +53,14 @@
         self.flows = 0
         self.chance = Random(config.seed ^ 0x5EED)
         try:
-            self.calls = Calls(config.settings, config.names, config.dial_time, config.seed)
+            self.calls = Calls(
+                config.settings, config.names, config.dial_time, config.seed, most=config.most_calls
+            )
         except ValueError as problem:
             raise ConfigError(f"settings: {problem}") from None
         self.wires: dict[int, Wire] = {}
         self.bounds = Bounds(config.sockets)
+        self.buffer = memoryview(bytearray(READ))
         self.links = Links(self)
         self.book = Book(self._news)
         self.changes = ChangeLog(loop, self.book, config.changelog, self.log)
@@ -204,6 +208,10 @@
 
     def _from_caller(self, now: int, wire: Wire, items: list[Message | Unreadable]) -> None:
         waited = self._waited(now)
+        pause = self.bounds.pour(now, wire.flow, len(items))
+        if pause:
+            self.log("warning", "caller slowed", source=wire.source)
+            wire.pause(pause)
         for item in items:
             if isinstance(item, Message):
                 self.bounds.spoke(wire.flow)
--- a/eiderstep/node/wires.py
+++ b/eiderstep/node/wires.py
@@ -14,8 +14,12 @@
 UNSENT = 256 * 1024  # bytes that a peer may leave unread
 
 
-class Wire(asyncio.Protocol):
-    """One TCP connection; `office` is empty for a caller's."""
+class Wire(asyncio.BufferedProtocol):
+    """One TCP connection; `office` is empty for a caller's.
+
+    Danger: read whole, what one peer has written is a quarter of a megabyte at a time, and all others wait
+    while it is worked through.  All share one small buffer, so each has its turn after `Node.buffer` bytes.
+    """
 
     def __init__(self, node: Node, office: str = "") -> None:
         self.node, self.office = node, office
@@ -41,6 +45,12 @@
         self.source = str(name[0]) if name else "?"
         self.node.caller_came(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.node.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        self.data_received(bytes(self.node.buffer[:size]))
+
     def data_received(self, data: bytes) -> None:
         if self.closing_at:
             return
@@ -67,6 +77,16 @@
                 self.node.log("warning", "peer reads nothing", peer=self.office or self.source)
                 self.transport.abort()
 
+    def pause(self, length: int) -> None:
+        """Read nothing for so long (ns)."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+            self.node.loop.call_later(length / 1e9, self._read_on)
+
+    def _read_on(self) -> None:
+        if self.transport is not None and not self.lost and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def close(self) -> None:
         """Close once all is written; nothing more is read."""
         if self.transport is not None and not self.transport.is_closing():
--- a/tests/test_node_bounds.py
+++ b/tests/test_node_bounds.py
@@ -1,6 +1,6 @@
 """What callers may cost, decided without I/O."""
 
-from eiderstep.node.bounds import SPEAK, Bounds
+from eiderstep.node.bounds import ALL, LONGEST_PAUSE, PART, RATE, SPEAK, Bounds
 
 SECOND = 1_000_000_000
 
@@ -51,3 +51,35 @@
     assert bounds.late(SECOND + SPEAK) == [2]
     bounds.spoke(2)
     assert bounds.late(9 * SECOND) == []
+
+
+def doors(*sources: str) -> Bounds:
+    bounds = Bounds(1024)
+    for flow, source in enumerate(sources):
+        bounds.came(0, flow, source, lambda f: 0)
+    return bounds
+
+
+def test_a_source_over_its_rate_is_not_read_for_a_while_whichever_connection_it_uses() -> None:
+    bounds = doors("flood", "flood", "calm")
+    assert bounds.pour(SECOND, 0, RATE) == 0
+    assert bounds.pour(SECOND, 1, 100) == SECOND // 10
+    assert bounds.pour(SECOND, 0, 10 * RATE) == LONGEST_PAUSE
+    assert bounds.pour(SECOND, 2, 100) == 0
+    assert bounds.pour(60 * SECOND, 0, RATE) == 0  # it has run off
+
+
+def test_many_sources_together_are_slowed_by_what_each_has_above_its_part() -> None:
+    bounds = doors(*(f"flood {n}" for n in range(10)), "calm")
+    for flow in range(6):
+        assert bounds.pour(SECOND, flow, ALL // 6) == 0
+    assert bounds.pour(SECOND, 10, PART) == 0  # the calm one, in the thick of it
+    assert bounds.pour(SECOND, 7, PART + 100) == SECOND // 10
+    assert bounds.pour(SECOND, 99, 10 * RATE) == 0  # nobody's flow: what we dialled
+
+
+def test_sources_remembered_are_bounded() -> None:
+    bounds = doors(*(f"{n}" for n in range(5000)))
+    for flow in range(5000):
+        bounds.pour(SECOND, flow, 1)
+    assert len(bounds.sources) == 4096
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -464,3 +464,13 @@
         assert table.calls.calls_on(CALLER) == 1
         table.calls.office_spoke(table.now, LINK, release())
     assert table.calls.calls_on(CALLER) == 0
+
+
+def test_calls_held_are_bounded() -> None:
+    table = Table()
+    table.calls.most = 1
+    table.standing(A)
+    assert table.calls.caller_spoke(table.now, CALLER, set_up(B))
+    assert table.take() == [(CALLER, release(B, cause=42))]
+    assert table.calls.caller_spoke(table.now, CALLER, set_up(B, figures=f"at:{HERE}"))
+    assert table.take() == [(CALLER, release(B, cause=42))]
