--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -50,6 +50,10 @@
         self.asked: dict[int, set[str]] = {}  # calls that a caller's flow waits for
         self.standing: dict[str, set[str]] = {}  # calls that stand, by office
         self.stood: dict[int, set[str]] = {}  # calls that stand, by the caller's flow
+        # Danger: a group's state comes on each link to its office.  The copy on the second one is no news,
+        # costs a decision, and gives back circuits that the module took off for what it sent in between.
+        # The first word on a new link always counts: what was lost with the old one changed nothing there.
+        self.states: dict[str, tuple[bytes, int]] = {}  # the last by office, and the link that it came on
         self.free: dict[str, int] = {}  # circuits to an office: as told last, less those sent for since
         self.owed = Owed()
         self.ends: OrderedDict[str, int] = OrderedDict()  # calls unknown here whose end was told, and cause
@@ -182,6 +186,7 @@
             if entry.state is io.OfficeState.GONE:
                 self.offices.pop(entry.office, None)
                 self.free.pop(entry.office, None)
+                self.states.pop(entry.office, None)
             else:
                 self.offices[entry.office] = entry.state
         self.events.append(io.OfficeList(kind, entries))
@@ -190,6 +195,7 @@
         """A link to an office stands: what waited for one goes out."""
         self.linked[flow] = office
         self.on_link[flow] = {}
+        self.states.pop(office, None)
         self.links.setdefault(office, []).append(flow)
         self._pay(now, office, flow)
         for attempt in self.waiting.pop(office, ()):
@@ -243,9 +249,14 @@
         self.doubted.discard(flow)
         kind, call = message.kind, self.calls.get(message.call)
         if kind == isup.STATE:
+            raw = message.parameters.get(isup.REPORT, b"")
+            told, by = self.states.get(office, (b"", flow))
+            if raw == told and by != flow:
+                return True
             report = mapping.report(message)
             if report is None:
                 return False
+            self.states[office] = (raw, flow)
             self._told(office, report)
             self.events.append(io.OfficeHeard(office, True, True, 0, report))
         elif kind == isup.ANM:
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -474,3 +474,25 @@
     assert table.take() == [(CALLER, release(B, cause=42))]
     assert table.calls.caller_spoke(table.now, CALLER, set_up(B, figures=f"at:{HERE}"))
     assert table.take() == [(CALLER, release(B, cause=42))]
+
+
+def test_a_groups_state_counts_once_whichever_links_bring_it() -> None:
+    table = Table()
+    table.calls.link_up(table.now, HERE, SPARE)
+    table.take()
+    table.mind.heard.clear()
+
+    def told(flow: int, free: int) -> int:
+        report = f"idle:{free};circuits:40".encode()
+        state = Message(isup.STATE, isup.NO_CALL, {isup.REPORT: report})
+        assert table.calls.office_spoke(table.now, flow, state)
+        table.take()
+        return len(table.heard(io.OfficeHeard))
+
+    assert [told(LINK, 7), told(SPARE, 7)] == [1, 0]
+    assert [told(SPARE, 6), told(LINK, 6)] == [1, 0]
+    assert [told(LINK, 7), told(LINK, 7)] == [1, 1]
+    table.calls.link_lost(table.now, LINK)
+    assert told(SPARE, 7) == 0
+    table.calls.link_up(table.now, HERE, LINK + 9)
+    assert told(LINK + 9, 7) == 1
