Reread: one leaky bucket, one way each to settle, cut and forget; derived state and dead code out

Found on rereading the platform's call server; behaviour stays as it is.

- bounds had a leaky bucket of its own beside Source.pour in trust/limits: both stand on pace.Bucket now.
- calls: _gone and _final settled a call in the same lines, born, office_lost and _too_long cut one in the same call; the states of offices were kept and never read, as were the settings; _reach looked for its fallback when it had found.
- owed.forget ran one loop twice; release was encoded by hand beside Message.encode; Attempt.width and .ran follow from the call and the flow; a set-up's figures were read as text twice; _keep's index was unused and its docstring wrong.
- links.lost told of a dead office before _forget did the same.
- tests: one run_module in place of three spelled-out processes.

--- a/eiderstep/isup/message.py
+++ b/eiderstep/isup/message.py
@@ -84,9 +84,10 @@
 
 def release(call: str, cause: int, pause: int = 0) -> bytes:
     """A release or refusal; `pause`: how long the caller should stay away (ms), 0 for no advice."""
-    head = b"\x00\x0d" if not pause else (13 + 3 + len(str(pause))).to_bytes(2, "big")
-    more = b"" if not pause else Message(REL, call, {PAUSE: str(pause).encode()}).encode()[11:]
-    return head + b"\x0c" + bytes.fromhex(call) + b"\xc2\x00\x01" + bytes((cause,)) + more
+    parameters = {CAUSE: bytes((cause,))}
+    if pause:
+        parameters[PAUSE] = str(pause).encode()
+    return Message(REL, call, parameters).encode()
 
 
 def figures(text: str) -> dict[str, float] | None:
--- a/eiderstep/node/bounds.py
+++ b/eiderstep/node/bounds.py
@@ -5,12 +5,12 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from eiderstep.trust.pace import Bucket
+
 SECOND = 1_000_000_000
 MS = 1_000_000
 SPEAK = 2_500 * MS  # a connection has to say a whole message within this
 SHARE = 0.6  # of the descriptors: connections from callers; the rest is for all else
-
-
 RATE = 1000  # messages a second of one source, as many at once; the busiest honest one is far below
 ALL = 3000  # of all sources together, as many at once; beyond it those over their part are read slowly
 PART = 200  # messages above the rate that a source may have then
@@ -18,21 +18,6 @@
 SOURCES = 4096  # remembered at most
 
 
-class Meter:
-    """Messages above a rate, as they run off."""
-
-    __slots__ = ("at", "level", "rate")
-
-    def __init__(self, rate: int) -> None:
-        self.rate, self.level, self.at = rate, 0.0, 0
-
-    def pour(self, now: int, count: int) -> float:
-        """So many more; the level then."""
-        self.level = max(self.level - (now - self.at) / SECOND * self.rate, 0.0) + count
-        self.at = now
-        return self.level
-
-
 class Door:
     """One connection from a caller."""
 
@@ -49,8 +34,8 @@
     def __init__(self, sockets: int) -> None:
         self.most = max(int(sockets * SHARE), 16)
         self.doors: OrderedDict[int, Door] = OrderedDict()
-        self.sources: OrderedDict[str, Meter] = OrderedDict()
-        self.all = Meter(ALL)
+        self.sources: OrderedDict[str, Bucket] = OrderedDict()
+        self.all = Bucket(ALL)
 
     def came(self, now: int, flow: int, source: str, weight: Callable[[int], int]) -> int | None:
         """A connection came in.  Which one is closed for it, None where there is room; itself, if none may.
@@ -87,14 +72,15 @@
         door = self.doors.get(flow)
         if door is None:
             return 0
-        meter = self.sources.get(door.source)
-        if meter is None:
+        bucket = self.sources.get(door.source)
+        if bucket is None:
             if len(self.sources) >= SOURCES:
                 self.sources.popitem(last=False)
-            meter = self.sources[door.source] = Meter(RATE)
+            bucket = self.sources[door.source] = Bucket(RATE)
         self.sources.move_to_end(door.source)
-        level, total = meter.pour(now, count), self.all.pour(now, count)
-        over = max(level - RATE, min(total - ALL, level - PART), 0.0)
+        bucket.pour(now, count)
+        self.all.pour(now, count)
+        over = max(bucket.level - RATE, min(self.all.level - ALL, bucket.level - PART), 0.0)
         return min(int(over / RATE * SECOND), LONGEST_PAUSE)
 
     def closed(self, flow: int) -> None:
--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
+from itertools import chain
 from typing import Any
 
 from eiderstep import interface as io
@@ -36,11 +37,11 @@
         mind: Mind | None = None, most: int = 20_000,
     ) -> None:  # fmt: skip
         """`names`: of the classes; `dial_time`: how long a set-up waits for a link; `most`: calls held."""
-        self.settings, self.dial_time, self.most = settings, dial_time, most
+        self.dial_time, self.most = dial_time, most
         self.reader = mapping.Reader(settings, names)
         self.mind = (mind or Controller)(settings, seed)
         self.calls: dict[str, Call] = {}
-        self.offices: dict[str, io.OfficeState] = {}
+        self.offices: set[str] = set()  # on the list, draining ones too
         self.links: dict[str, list[int]] = {}  # flows by office
         self.linked: dict[int, str] = {}  # office by flow
         self.on_link: dict[int, dict[str, Attempt]] = {}  # set-ups out on a flow
@@ -163,18 +164,17 @@
     def _gone(self, now: int, call: Call) -> None:
         """The caller waits no more: no answer is owed, and what is out for it is given up."""
         self.events.append(io.CallGone(call.name))
-        attempt = call.attempt
-        self._answered(call)
-        if attempt is not None and attempt.state in OPEN:
-            self._give_up(now, attempt, io.Outcome.CANCELLED, True)
+        self._settled(now, call)
 
-    def _answered(self, call: Call) -> None:
-        """No answer is owed any more."""
+    def _settled(self, now: int, call: Call) -> None:
+        """No answer is owed any more: the call goes, and what is out for it is given up."""
         call.state = CallState.OVER
         self.calls.pop(call.name, None)
         waiting = self.asked.get(call.flow)
         if waiting is not None:
             waiting.discard(call.name)
+        if call.attempt is not None and call.attempt.state in OPEN:
+            self._give_up(now, call.attempt, io.Outcome.CANCELLED, True)
 
     # -- offices -------------------------------------------------------------------------------------------
 
@@ -184,11 +184,11 @@
             self.offices.clear()
         for entry in entries:
             if entry.state is io.OfficeState.GONE:
-                self.offices.pop(entry.office, None)
+                self.offices.discard(entry.office)
                 self.free.pop(entry.office, None)
                 self.states.pop(entry.office, None)
             else:
-                self.offices[entry.office] = entry.state
+                self.offices.add(entry.office)
         self.events.append(io.OfficeList(kind, entries))
 
     def link_up(self, now: int, office: str, flow: int) -> None:
@@ -234,12 +234,12 @@
         for name in list(self.standing.get(office, ())):
             attempt = self.calls[name].attempt
             if attempt is not None and attempt.sent_at < started:
-                self._over(now, self.calls[name], io.Outcome.CUT, isup.TEMPORARY, True, True)
+                self._cut(now, name, isup.TEMPORARY)
 
     def office_lost(self, now: int, office: str) -> None:
         """An office is dead, or counts as dead, so long has it been silent: what stood there is cut."""
         for name in list(self.standing.get(office, ())):
-            self._over(now, self.calls[name], io.Outcome.CUT, isup.TEMPORARY, True, True)
+            self._cut(now, name, isup.TEMPORARY)
 
     def office_spoke(self, now: int, flow: int, message: Message) -> bool:
         """A message of an office.  Tells whether the link is of further use."""
@@ -289,7 +289,7 @@
         if now >= attempt.until:
             self._until(now, attempt)
             return True
-        description = message.parameters.get(isup.DESCRIPTION)
+        description = message.parameters.get(isup.DESCRIPTION, b"")
         if not mapping.readable(description):
             self._count("answers spoilt")
             return False
@@ -300,7 +300,6 @@
         report = mapping.report(message)
         if report is not None and isup.REPORT in message.parameters:
             self.events.append(io.OfficeHeard(attempt.office, False, True, now - attempt.sent_at, report))
-        assert description is not None
         passed = Message(isup.ANM, call.name, {isup.DESCRIPTION: description})
         self.out.append((call.flow, passed.encode()))
         self.asked[call.flow].discard(call.name)
@@ -313,7 +312,6 @@
             self._count("releases spoilt")
             return False
         outcome, cause = mapping.outcome(message)
-        attempt.state = AttemptState.OVER
         self._end(now, attempt, outcome, cause, report, False)
         return True
 
@@ -347,7 +345,11 @@
     def _too_long(self, now: int, call: Call) -> None:
         """Danger: a call whose end was never told, or that an `at` made up, would be held for ever."""
         self._count("ended as too long")
-        self._over(now, call, io.Outcome.CUT, isup.RECOVERY, True, True)
+        self._cut(now, call.name, isup.RECOVERY)
+
+    def _cut(self, now: int, name: str, cause: int) -> None:
+        """A call that stood is ended from here, towards both sides."""
+        self._over(now, self.calls[name], io.Outcome.CUT, cause, True, True)
 
     def _over(
         self, now: int, call: Call, outcome: io.Outcome, cause: int, to_office: bool, to_caller: bool,
@@ -392,7 +394,8 @@
     def _reach(self, source: str) -> int | None:
         """A caller's connection, the newest of that source, else the newest where a call stands."""
         theirs = (flow for flow in reversed(self.callers) if self.callers[flow] == source)
-        return next(theirs, next((flow for flow in reversed(self.callers) if self.stood.get(flow)), None))
+        others = (flow for flow in reversed(self.callers) if flow in self.stood)
+        return next(chain(theirs, others), None)
 
     def _pay(self, now: int, whom: str, flow: int) -> None:
         for name, data in self.owed.take(now, whom):
@@ -419,7 +422,6 @@
         call = attempt.call
         attempt.state, attempt.flow = AttemptState.OUT, flow
         self.on_link[flow][call.name] = attempt
-        attempt.ran = True
         wait = max((attempt.until - now) // MS, 1)
         self.out.append((flow, call.set_up(wait)))
 
@@ -450,8 +452,8 @@
             call.attempt = None
         settled = settled or call.state is not CallState.OFFERED
         took = now - attempt.sent_at
-        if not attempt.ran and attempt.office in self.free:
-            self.free[attempt.office] += attempt.width
+        if attempt.flow < 0 and attempt.office in self.free:
+            self.free[attempt.office] += call.width
             report = io.LoadReport(free=self.free[attempt.office])
         self._told(attempt.office, report)
         self.events.append(
@@ -537,10 +539,7 @@
             return
         if call.flow in self.callers:
             self.out.append((call.flow, isup.release(name, cause, pause)))
-        attempt = call.attempt
-        self._answered(call)
-        if attempt is not None and attempt.state in OPEN:
-            self._give_up(now, attempt, io.Outcome.CANCELLED, True)
+        self._settled(now, call)
 
     def _cancel(self, now: int, action: io.Cancel) -> None:
         call = self.calls.get(action.call)
--- a/eiderstep/node/config.py
+++ b/eiderstep/node/config.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """The configuration, checked.  `names`: of the classes; `dial_time`, `idle`: in ns."""
+    """The configuration, checked.  `names`: of the classes; `dial_time`: in ns."""
 
     name: str
     listen: tuple[str, int]
--- a/eiderstep/node/links.py
+++ b/eiderstep/node/links.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from eiderstep.isup.message import TEST, Message
+from eiderstep.isup.message import CAUSE, TEST, Message
 from eiderstep.node.config import ConfigError, address
 from eiderstep.node.wires import Wire
 
@@ -66,7 +66,7 @@
         if peer is None:
             peer = self.peers[office] = Peer(office, dial, started)
             peer.heard_at = self.node.now()
-            peer.tasks = [self.node.loop.create_task(self._keep(peer, i)) for i in range(EACH)]
+            peer.tasks = [self.node.loop.create_task(self._keep(peer)) for _ in range(EACH)]
         peer.gone = False
 
     def only(self, offices: set[str]) -> None:
@@ -95,7 +95,6 @@
             return
         peer.wires.remove(wire)
         if peer.gone and not peer.wires:
-            self.node.calls.office_lost(self.node.now(), peer.office)
             self._part(peer)
 
     def watch(self, now: int) -> None:
@@ -111,7 +110,7 @@
                 elif not tested and (quiet >= QUIET or self._suspect(now, wire)):
                     wire.tested_at = now
                     self.node.calls.doubted.add(wire.flow)
-                    wire.send(Message(TEST, TEST_CALL, {194: b"\0"}).encode())
+                    wire.send(Message(TEST, TEST_CALL, {CAUSE: b"\0"}).encode())
                 peer.heard_at = max(peer.heard_at, wire.heard_at)
             if not peer.wires and now - peer.heard_at >= DEAD:
                 self.node.calls.office_lost(now, peer.office)
@@ -155,8 +154,8 @@
         self.node.calls.unreachable(now, peer.office)
         self.node.calls.office_lost(now, peer.office)
 
-    async def _keep(self, peer: Peer, index: int) -> None:
-        """Keep one link up.  The first also answers for those who wait."""
+    async def _keep(self, peer: Peer) -> None:
+        """Keep one link up."""
         node, pause = self.node, AGAIN[0]
         try:
             host, port = address(peer.dial, "dial")
--- a/eiderstep/node/mapping.py
+++ b/eiderstep/node/mapping.py
@@ -52,11 +52,12 @@
 
         `sent`: when its last byte had come, at the latest (ns).
         """
-        said = figures(message.text(isup.FIGURES) or "")
+        text = message.text(isup.FIGURES) or ""
+        said = figures(text)
         if message.call == isup.NO_CALL:
             raise Unfit("call reference 0")
         if said is None:
-            at = self._at(message.text(isup.FIGURES) or "")
+            at = self._at(text)
             if at:
                 return at
             raise Unfit("parameter 185 is no list of figures such as dest:2;width:1")
@@ -111,9 +112,9 @@
     return ended, NOTES.get(message.text(isup.NOTE) or "", io.Cause.NONE)
 
 
-def readable(description: bytes | None) -> bool:
+def readable(description: bytes) -> bool:
     """Whether a description can be passed on: some lines of text."""
-    return bool(description) and description is not None and description.isascii()
+    return bool(description) and description.isascii()
 
 
 class BadList(ValueError):
--- a/eiderstep/node/owed.py
+++ b/eiderstep/node/owed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 SECOND = 1_000_000_000
 OWED_FOR = 8 * SECOND  # the platform waits so long for a release that no connection could take
 IN_DOUBT = 2 * SECOND  # a connection that is lost so soon after a release was written may have lost it
@@ -52,15 +54,14 @@
 
     def forget(self, now: int) -> None:
         """Danger: what nobody ever comes for would be kept for ever."""
-        for whom in list(self.owed):
-            rows = {name: row for name, row in self.owed[whom].items() if now - row[0] <= OWED_FOR}
-            if rows:
-                self.owed[whom] = rows
-            else:
-                del self.owed[whom]
-        for flow in list(self.written):
-            kept = {name: row for name, row in self.written[flow].items() if now - row[0] <= IN_DOUBT}
-            if kept:
-                self.written[flow] = kept
-            else:
-                del self.written[flow]
+        _drop(self.owed, now - OWED_FOR)
+        _drop(self.written, now - IN_DOUBT)
+
+
+def _drop(table: dict[Any, dict[str, Any]], oldest: int) -> None:
+    """Rows begin with their time: those before `oldest` go, and who has none left."""
+    for key, rows in list(table.items()):
+        for name in [name for name, row in rows.items() if row[0] < oldest]:
+            del rows[name]
+        if not rows:
+            del table[key]
--- a/eiderstep/node/records.py
+++ b/eiderstep/node/records.py
@@ -58,12 +58,10 @@
 class Attempt:
     """One set-up sent on."""
 
-    __slots__ = ("call", "flow", "leg", "office", "ran", "sent_at", "state", "timer", "until", "width")
+    __slots__ = ("call", "flow", "leg", "office", "sent_at", "state", "timer", "until")
 
     def __init__(self, call: Call, leg: int, office: str, sent_at: int, until: int) -> None:
         self.call, self.leg, self.office, self.sent_at, self.until = call, leg, office, sent_at, until
         self.state = AttemptState.WAITING
-        self.flow = -1
-        self.ran = False  # whether it ever left
-        self.width = call.width
+        self.flow = -1  # the link that it went out on; below 0 where it never left
         self.timer: Entry | None = None
--- a/eiderstep/server/node.py
+++ b/eiderstep/server/node.py
@@ -143,8 +143,9 @@
         """See whether this process has run all the time."""
         if self.ended or self.engine is None:
             return
-        self._waited(self.now())
-        self.watch.beat(self.now())
+        now = self.now()
+        self._waited(now)
+        self.watch.beat(now)
         self.loop.call_later(BEAT, self._beat)
 
     def _waited(self, now: int) -> int:
--- a/eiderstep/trust/limits.py
+++ b/eiderstep/trust/limits.py
@@ -14,6 +14,7 @@
 from enum import Enum, auto
 
 from eiderstep.config.schema import SourceLimits
+from eiderstep.trust.pace import Bucket
 
 SECOND = 1_000_000_000
 FLOOD = 2  # times the rate of messages: no honest source sends so much after it was told to come back
@@ -42,24 +43,18 @@
     open: bool = False
 
 
-class Source:
-    """What is remembered of one source."""
+class Source(Bucket):
+    """What is remembered of one source.  What is poured are its messages."""
 
-    __slots__ = ("at", "faults", "faults_at", "flows", "level", "name", "pause", "rate", "until", "waiting")
+    __slots__ = ("faults", "faults_at", "flows", "name", "pause", "until", "waiting")
 
     def __init__(self, name: str, rate: float) -> None:
-        self.name, self.rate = name, rate
+        super().__init__(rate)
+        self.name = name
         self.flows = self.waiting = 0  # connections; those that have said nothing yet
-        self.level, self.at = 0.0, 0  # messages above the rate, and when that was reckoned (ns)
         self.faults, self.faults_at = 0, 0
         self.pause, self.until = PAUSE, 0
 
-    def pour(self, now: int, weight: int = 1) -> float:
-        """One message more: how far the source is over its rate, in seconds of it."""
-        self.level = max(self.level - (now - self.at) / SECOND * self.rate, 0.0) + weight
-        self.at = now
-        return self.level / self.rate
-
 
 class Limiter:
     """All sources of one call server.
--- a/eiderstep/trust/pace.py
+++ b/eiderstep/trust/pace.py
@@ -1,4 +1,4 @@
-"""Log lines of one event and source at a bounded rate, with a count of what was held back.  No I/O."""
+"""How fast things come, and log lines of one event and source at a bounded rate.  No I/O, no clock."""
 
 from __future__ import annotations
 
@@ -9,6 +9,22 @@
 REMEMBERED = 1024
 
 
+class Bucket:
+    """What came above a rate (a second), as it runs off."""
+
+    __slots__ = ("at", "level", "rate")
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.level, self.at = 0.0, 0  # above the rate, and when that was reckoned (ns)
+
+    def pour(self, now: int, weight: int = 1) -> float:
+        """So much more: how far it is over its rate then, in seconds of it."""
+        self.level = max(self.level - (now - self.at) / SECOND * self.rate, 0.0) + weight
+        self.at = now
+        return self.level / self.rate
+
+
 class Thinner:
     """Lets `burst` lines of one key through in each `period`; the next one through tells how many were not.
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -1,12 +1,17 @@
-"""A settings builder and a driver that checks the five rules on every reply."""
+"""A settings builder, a driver that checks the five rules on every reply, and modules run as processes."""
 
 from __future__ import annotations
 
+import subprocess
+import sys
+from collections.abc import Mapping
 from dataclasses import replace
+from pathlib import Path
 
 from eiderstep import interface as io
 from eiderstep.decide import Controller
 
+ROOT = Path(__file__).resolve().parent.parent
 SECOND = 1_000_000_000
 MS = 1_000_000
 
@@ -15,6 +20,16 @@
 DEAR = replace(PLAIN, worth=5.0, mean_hold=8 * SECOND)
 
 
+def run_module(
+    name: str, text: str = "", environ: Mapping[str, str] | None = None
+) -> subprocess.CompletedProcess[str]:
+    """`python -m name` to its end."""
+    return subprocess.run(
+        [sys.executable, "-m", name], input=text, env=environ, cwd=ROOT, capture_output=True, text=True,
+        timeout=60, check=False,
+    )  # fmt: skip
+
+
 def settings(**changes: object) -> io.Settings:
     base = io.Settings(
         classes=(PLAIN, WIDE, DEAR),
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -19,8 +19,8 @@
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
 from eiderstep.standin.platform import HOST, Caller, ChangeLog, Office
+from tests.rig import ROOT, run_module
 
-ROOT = Path(__file__).resolve().parent.parent
 SETTINGS: dict[str, Any] = {
     "callers": {"marks_retry": False},
     "caps": {
@@ -361,15 +361,7 @@
 ) -> None:
     path = World(tmp_path).configure(**{"known": {"seq": 0, "results": []}} | change)
     env = {**os.environ, "NODE_CONFIG": str(path)}
-    done = subprocess.run(
-        [sys.executable, "-m", "eiderstep.node"],
-        check=False,
-        cwd=ROOT,
-        env=env,
-        capture_output=True,
-        text=True,
-        timeout=20,
-    )
+    done = run_module("eiderstep.node", environ=env)
     assert done.returncode == 2
     assert said in done.stderr
     assert len(done.stderr.splitlines()) == 1
@@ -380,15 +372,7 @@
     env = {k: v for k, v in os.environ.items() if k != "NODE_CONFIG"} | (
         {"NODE_CONFIG": path} if path else {}
     )
-    done = subprocess.run(
-        [sys.executable, "-m", "eiderstep.node"],
-        check=False,
-        cwd=ROOT,
-        env=env,
-        capture_output=True,
-        text=True,
-        timeout=20,
-    )
+    done = run_module("eiderstep.node", environ=env)
     assert (done.returncode, len(done.stderr.splitlines())) == (2, 1)
     assert "NODE_CONFIG" in done.stderr
 
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -1,11 +1,9 @@
 """The adapter: what it reads, what it writes, how it fails."""
 
 import json
-import subprocess
-import sys
-from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
+from tests.rig import ROOT, run_module
+
 CONFIG = {
     "classes": [{"aim": 1200000000, "give_up": 9000000000, "worth": 1.0, "novelty": 1}],
     "family_info": {"layout": "network", "mean_hold": [10000000000], "widths": [1], "self_no": 0},
@@ -19,14 +17,7 @@
 
 def run(*lines: object) -> tuple[int, list[object], str]:
     text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
-    done = subprocess.run(
-        [sys.executable, "-m", "eiderstep.wirehost"],
-        input=text,
-        capture_output=True,
-        text=True,
-        cwd=ROOT,
-        check=False,
-    )
+    done = run_module("eiderstep.wirehost", text)
     return done.returncode, [json.loads(line) for line in done.stdout.splitlines()], done.stderr
 
 
