--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,8 +13,8 @@
 
 CALLS = 12  # standing at the office that vanishes
 GONE_FOR = 3.5  # seconds until the new office listens; the pages: a zone is lost for 5 s
-# Seconds from the loss until the change log tells that the old office is gone and the new one ready; the site: a
-# silent loss is noticed after 5.3 to 12 s, a new office is told 0.56 to 2 s after its start.
+# Seconds from the loss until the change log tells that the old one is gone and the new one ready.  The site:
+# a silent loss is noticed after 5.3 to 12 s, a new office is told 0.56 to 2 s after its start.
 TOLD_AFTER = 5.4
 LIMIT = 8.0 + 0.05  # seconds from a call's end; the pages: 8 s, and every limit 50 ms longer
 
