Review: a case that is ended from outside ends its processes and exits with 2

Cause: a terminated script left the call server and the bad clients running; an interrupted one exited with 1. Measured: TERM, INT and KILL in the middle of each case leave no process; TERM and INT exit with 2.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import signal
 import sys
@@ -116,5 +115,4 @@
 
 
 if __name__ == "__main__":
-    with contextlib.suppress(KeyboardInterrupt):
-        s.main(Path(__file__).resolve().parent, case)
+    s.main(Path(__file__).resolve().parent, case)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -54,6 +54,7 @@
                 + [str(server.port), str(CLIENTS), str(AT_ONCE), str(FLOOD)],
                 stdout=subprocess.PIPE,
                 text=True,
+                preexec_fn=lambda: s.prepare_child(1024),  # noqa: PLW1509
             )
         began = time.time()
         while time.time() < began + FLOOD:
--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import random
@@ -418,6 +419,12 @@
     } | changes
 
 
+def prepare_child(descriptors: int) -> None:
+    """In a child before its program starts: limit its descriptors, and let it end with this process."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL, 0, 0, 0)  # PR_SET_PDEATHSIG
+
+
 def free_port() -> int:
     """A free port below the range from which the kernel takes ports for outgoing connections."""
     while True:
@@ -465,7 +472,6 @@
             "NODE_CONFIG": str(self.write_config()),
             "TMPDIR": str(scratch),
         }
-        limit = (self.sockets, self.sockets)
         self.log = self.folder / f"log{self.starts}"
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
@@ -476,7 +482,7 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limit),  # noqa: PLW1509
+                preexec_fn=lambda: prepare_child(self.sockets),  # noqa: PLW1509
             )
         for _ in range(300):  # the front takes in a call server once it has passed a test
             if self.process.poll() is not None:
@@ -545,6 +551,17 @@
         await asyncio.sleep(0.01)
 
 
+async def run_until_signal(case: Awaitable[bool]) -> bool:
+    """Run a case for 110 s at most; a signal that would end this process cancels it, so that it cleans up."""
+    loop, task = asyncio.get_running_loop(), asyncio.ensure_future(case)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        return await asyncio.wait_for(task, 110)
+    except asyncio.CancelledError:
+        raise Unusable("ended by a signal") from None
+
+
 def main(folder: Path, case: Callable[[Record, Path, bool], Awaitable[bool]]) -> None:
     """Run a case, which returns whether the rule held, and exit with its result."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -553,7 +570,7 @@
     result = NOT_RUN
     with tempfile.TemporaryDirectory() as scratch:
         try:
-            held = asyncio.run(asyncio.wait_for(case(record, Path(scratch), trouble), 110))
+            held = asyncio.run(run_until_signal(case(record, Path(scratch), trouble)))
             result = HELD if held else BROKEN
         except Exception as problem:  # whatever it is, the rule was not seen to be broken
             record(f"could not run: {type(problem).__name__} {problem}")
