Review cases end their processes when they are killed, case 9 keeps its shares

Change: a guard process; eight offices and two call servers in case 9; case 6 exits with 2 if its calls are offered too late.

--- a/review/6/trial.py
+++ b/review/6/trial.py
@@ -109,6 +109,8 @@
             caller.send_set_up(f"{turn + 0x100:04x}{number:012x}", 0, give_up_ms=3000, routing_data=pairs)
         record(f"{len(callers)} calls {'come again' if TROUBLE else 'are offered'}")
         await asyncio.sleep(0.1)
+    if time.time() - before > 0.6:
+        raise CannotRun("the calls that come again were offered too late: the stand-ins lag")
     await asyncio.sleep(4)
     times = [at - before for at in late.arrivals if at > before]
     record(f"set-ups at {late.name}: {len(times)}; seconds since its start: {[round(at, 3) for at in times]}")
--- a/review/9/trial.py
+++ b/review/9/trial.py
@@ -10,9 +10,10 @@
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from stage import SLACK, TROUBLE, Bench, Caller, CannotRun, Message, Office, free_port, isup, run
+from stage import SLACK, TROUBLE, Bench, Caller, CannotRun, Message, Office, free_port, isup, run, settings
 
 CALLS = 10
+OFFICES = 8  # one of them ends
 RELEASE_LIMIT = 8.0  # seconds from a call's end, if no release could be sent
 WATCHED = 20.0  # seconds after the calls' end
 
@@ -28,13 +29,17 @@
 
 async def trial(bench: Bench) -> bool:
     record = bench.record
-    office, other = Restartable("s-one", 1), Office("s-two", 2)
-    bench.offices += [office, other]
+    office = Restartable("s-one", 1)
+    bench.offices += [office, *(Office(f"s-{number}", number) for number in range(2, OFFICES + 1))]
     office.port = free_port()
     for each in bench.offices:
         await each.listen()
     bench.changelog.append_event(*(each.list_entry() for each in bench.offices), whole=True)
-    server = bench.server()
+    server = bench.server(given=settings(peers_total=2))
+    # The other call server is not killed and has no calls.
+    await bench.server(
+        "n1", given=settings(peers_total=2, ordinal=1, family_info={"self_no": OFFICES})
+    ).start()
     await server.start()
     caller = await Caller.dial(server.port)
     calls = [f"{number + 1:016x}" for number in range(CALLS)]
--- a/review/stage.py
+++ b/review/stage.py
@@ -98,16 +98,36 @@
             return port
 
 
+class Guard:
+    """A process that ends the others where this one is killed and can't do so itself."""
+
+    def __init__(self, folder: Path) -> None:
+        guard = str(Path(__file__).with_name("guard.py"))
+        self.process = subprocess.Popen(
+            [sys.executable, guard, str(folder)], stdin=subprocess.PIPE, start_new_session=True
+        )
+
+    def tell(self, sign: str, process: int) -> None:
+        assert self.process.stdin is not None
+        self.process.stdin.write(f"{sign}{process}\n".encode())
+        self.process.stdin.flush()
+
+    def close(self) -> None:
+        assert self.process.stdin is not None
+        self.process.stdin.close()
+        self.process.wait()
+
+
 class CallServer:
     """One call server, started by the `run` line of the deploy file."""
 
     def __init__(
         self, folder: Path, name: str, record: Record, known: dict[str, Any], changelog: str,
-        given: dict[str, Any], sockets: int = 1024, limit_descriptors: bool = False,
+        given: dict[str, Any], guard: Guard, sockets: int = 1024, limit_descriptors: bool = False,
     ) -> None:  # fmt: skip
         self.folder, self.name, self.record, self.sockets = folder, name, record, sockets
         self.known, self.changelog, self.given = known, changelog, given
-        self.limit_descriptors = limit_descriptors
+        self.limit_descriptors, self.guard = limit_descriptors, guard
         self.port = free_port()
         self.process: subprocess.Popen[bytes] | None = None
         self.log = folder / f"{name}.log"
@@ -132,6 +152,7 @@
             ["/bin/sh", "-c", limit + RUN_LINE], cwd=ROOT, env=environ, stdin=subprocess.DEVNULL,
             stdout=self.log.open("ab"), stderr=subprocess.STDOUT,
         )  # fmt: skip
+        self.guard.tell("+", self.process.pid)
         self.record(f"started call server {self.name} pid {self.process.pid}")
         deadline = time.time() + 30
         while True:
@@ -160,18 +181,20 @@
     async def stopped(self, seconds: float) -> None:
         assert self.process is not None
         await asyncio.to_thread(self.process.wait, seconds)
+        self.guard.tell("-", self.process.pid)
 
     def close(self) -> None:
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+            self.guard.tell("-", self.process.pid)
 
 
 class Bench:
     """What a case starts, closed at its end."""
 
     def __init__(self, folder: Path, record: Record) -> None:
-        self.folder, self.record = folder, record
+        self.folder, self.record, self.guard = folder, record, Guard(folder)
         self.changelog = ChangeLog()
         self.servers: list[CallServer] = []
         self.offices: list[Office] = []
@@ -181,7 +204,7 @@
         given = options.pop("given", settings())
         known = self.changelog.events_since(0)
         address = f"{HOST}:{self.changelog.port}"
-        server = CallServer(self.folder, name, self.record, known, address, given, **options)
+        server = CallServer(self.folder, name, self.record, known, address, given, self.guard, **options)
         self.servers.append(server)
         return server
 
@@ -198,6 +221,7 @@
         for office in self.offices:
             office.kill()
         self.changelog.close()
+        self.guard.close()
 
 
 async def dial_from(host: str, port: int) -> Caller:
