Pass an answer on whatever bytes its description holds

Cause: the description was checked for ASCII, though the platform says that it is not text; an answer that failed the check closed its link as spoilt.

Only a description that is missing or empty counts as spoilt now.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -366,7 +366,7 @@
             self._attempt_timed_out(now, attempt)
             return True
         description = message.parameters.get(isup.DESCRIPTION, b"")
-        if not mapping.is_valid_description(description):
+        if not description:
             self._count("answers spoilt")
             return False
         call = attempt.call
--- a/eiderstep/node/mapping.py
+++ b/eiderstep/node/mapping.py
@@ -113,11 +113,6 @@
     return outcome, CAUSE_BY_DIAGNOSTIC.get(message.text_parameter(isup.DIAGNOSTIC) or "", io.Cause.NONE)
 
 
-def is_valid_description(description: bytes) -> bool:
-    """Whether a description can be forwarded: it is not empty and is ASCII."""
-    return bool(description) and description.isascii()
-
-
 class InvalidOfficeList(ValueError):
     """A list of offices, or an entry of one, that is malformed."""
 
