Read text parameters as UTF-8: class, number and office names

A class named `données` had every set-up refused with cause 100, and a call reported at such an office too.

The new test failed before. Bytes that are no UTF-8, and characters that are not printable, are refused as before: three parameters more.

--- a/eiderstep/isup/message.py
+++ b/eiderstep/isup/message.py
@@ -63,11 +63,11 @@
         return value[0] if len(value) == 1 else None
 
     def text_parameter(self, code: int) -> str | None:
-        """A parameter as printable ASCII, or None if it is absent or contains anything else."""
-        value = self.parameters.get(code)
-        if value is None or not value.isascii():
+        """A parameter as printable text in UTF-8, or None if it is absent or contains anything else."""
+        try:
+            text = self.parameters[code].decode()
+        except (KeyError, UnicodeDecodeError):
             return None
-        text = value.decode("ascii")
         return text if text.isprintable() else None
 
     def decimal_parameter(self, code: int) -> int | None:
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -6,6 +6,7 @@
 from eiderstep.engine import effects as fx
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
+from eiderstep.node.calls import CallTable
 from tests.node_rig import (
     CALL_A,
     CALL_B,
@@ -17,7 +18,10 @@
     OTHER_LINK,
     OTHER_OFFICE,
     SECOND,
+    SETTINGS,
+    START,
     CallTableRig,
+    ScriptedController,
     answer,
     release,
     set_up,
@@ -336,6 +340,21 @@
     assert (OTHER_CALLER, release()) in table.flush()
 
 
+def test_class_and_office_names_outside_ascii_are_understood() -> None:
+    # Guards against refusing every set-up of a class that the settings name with such letters.
+    calls = CallTable(SETTINGS, ("données", "wide"), 500 * MS, 1, ScriptedController)
+    calls.update_offices(io.ListKind.REMEMBERED, (io.OfficeEntry("büro-1", 1, io.OfficeState.UP),))
+    calls.caller_connected(CALLER, "caller")
+    messages = [
+        set_up(CALL_A, class_name="données".encode()),
+        set_up(CALL_B, pairs="dest:1;width:1;via:-1;at:büro-1"),
+    ]
+    for message in messages:
+        assert calls.handle_caller_message(START, CALLER, message)
+    assert calls.outgoing == []
+    assert calls.standing_by_office == {"büro-1": {CALL_B}}
+
+
 def test_reuse_of_the_reference_of_an_open_call() -> None:
     """On another connection the set-up is refused; on the connection of the first one, it is closed."""
     table = CallTableRig()
@@ -353,6 +372,7 @@
     [
         set_up(wait=0), set_up(wait=10**9), set_up(give_up_time=b"-5"), set_up(give_up_time=b"soon"),
         set_up(class_name=b"no such"), set_up(number=b""), set_up(number=b"x" * 65), set_up(number=b"a b"),
+        set_up(number=b"\xff"), set_up(number="a\u200bb".encode()), set_up(class_name=b"voice\xff"),
         set_up(pairs="dest:-1;width:1"), set_up(pairs="dest:1.5;width:1"), set_up(pairs="dest:70000"),
         set_up(pairs="dest:1;width:3"), set_up(pairs="dest:1;width:-1"), set_up(pairs="dest:x"),
         set_up(pairs="?"), set_up(pairs="dest:1;width:1" + ";y:1" * 3000), set_up(call="0" * 16),
