Release set-ups of a lost link at their office over another link

Cause: `link_lost` ended the attempts without a release; closing a connection gives up open set-ups only, not an answered call.

Each set-up of a lost link is released over another link or the next one; a release of a given-up attempt is sent again if its link is lost. A release that is still kept when the call is set up there again is forgotten.

Three new tests, and an assertion in the process test that an office which spoilt or reset its answer gets a release, failed before and pass.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -254,6 +254,8 @@
     def link_lost(self, now: int, flow: int, silent: bool = False) -> None:
         """End each set-up sent on a lost link once; standing calls continue.
 
+        An answer may be lost with its link, or be unreadable.  Such a call stands at the office, which the
+        end of the link does not change, so each set-up is released there over another link as well.
         `silent`: the link timed out, so the set-ups end as unanswered rather than cut.
         """
         office = self.office_by_link.pop(flow, "")
@@ -267,6 +269,7 @@
         for attempt in self.attempts_by_link.pop(flow, {}).values():
             if attempt.state is AttemptState.SENT:
                 self._end_attempt(now, attempt, outcome, io.Cause.NONE, None, False)
+                self._release_to_office(now, office, attempt.call.reference, isup.NORMAL_CLEARING)
         self._resend_lost_releases(now, flow)
 
     def office_unreachable(self, now: int, office: str) -> None:
@@ -347,6 +350,8 @@
             elif call is None:
                 self._remember_end(message.call, message.cause or isup.NORMAL_CLEARING)
             self.outgoing.append((flow, Message(isup.RLC, message.call).encode()))
+        elif kind == isup.RLC:
+            self.pending_releases.confirm(flow, message.call)
         elif kind in (isup.IAM, isup.TEST):
             self._count("unfit from offices")
             return False
@@ -514,6 +519,9 @@
 
     def _send_set_up(self, now: int, attempt: Attempt, flow: int) -> None:
         call = attempt.call
+        self.pending_releases.withdraw(
+            attempt.office, call.reference, self.links_by_office.get(attempt.office, ())
+        )
         attempt.state, attempt.flow = AttemptState.SENT, flow
         self.attempts_by_link[flow][call.reference] = attempt
         wait_ms = max((attempt.deadline - now) // MS, 1)
@@ -531,9 +539,10 @@
 
     def _give_up_attempt(self, now: int, attempt: Attempt, outcome: io.Outcome, call_over: bool) -> None:
         if attempt.state is AttemptState.SENT:
-            self.outgoing.append(
-                (attempt.flow, isup.encode_release(attempt.call.reference, isup.NORMAL_CLEARING))
-            )
+            reference = attempt.call.reference
+            data = isup.encode_release(reference, isup.NORMAL_CLEARING)
+            self.outgoing.append((attempt.flow, data))
+            self.pending_releases.mark_written(now, attempt.flow, attempt.office, reference, data)
         self._end_attempt(now, attempt, outcome, io.Cause.NONE, None, call_over)
 
     def _end_attempt(
--- a/eiderstep/node/pending_releases.py
+++ b/eiderstep/node/pending_releases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 SECOND = 1_000_000_000
@@ -43,6 +44,17 @@
         if rows is not None and rows.pop(reference, None) is not None and not rows:
             del self.unconfirmed[flow]
 
+    def withdraw(self, destination: str, reference: str, flows: Iterable[int]) -> None:
+        """Forget the release of an earlier attempt, since the same call is set up at the destination again.
+
+        Sent once more after that, the release would end the new attempt.  `flows`: connections there.
+        """
+        rows = self.pending.get(destination)
+        if rows is not None and rows.pop(reference, None) is not None and not rows:
+            del self.pending[destination]
+        for flow in flows:
+            self.confirm(flow, reference)
+
     def connection_lost(self, now: int, flow: int) -> set[str]:
         """Requeue what a lost connection may not have delivered; return the destinations concerned."""
         destinations = set()
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -190,6 +190,47 @@
     assert (CALLER, release(CALL_A)) in table.flush()
 
 
+def test_set_ups_of_a_lost_link_are_released_over_another_one() -> None:
+    # Guards against a call that stands at an office for ever, as its answer was lost with the link.
+    table = CallTableRig()
+    table.offer(CALL_A)
+    table.calls.link_up(table.now, OFFICE, OTHER_LINK)
+    table.calls.link_lost(table.now, LINK)
+    assert table.flush() == [(OTHER_LINK, release(CALL_A))]
+    assert table.calls.handle_office_message(table.now, OTHER_LINK, Message(isup.RLC, CALL_A))
+    table.calls.link_lost(table.now, OTHER_LINK)
+    table.calls.link_up(table.now, OFFICE, LINK)
+    assert table.flush() == []  # a confirmed release is not sent again
+
+
+def test_release_of_a_lost_attempt_waits_for_a_link_and_precedes_the_next_attempt() -> None:
+    # Guards against a call that stands at an office for ever, and against ending the call's next attempt.
+    table = CallTableRig()
+    table.offer(CALL_A)
+    table.calls.link_lost(table.now, LINK)
+    table.flush()
+    table.calls.link_up(table.now, OFFICE, OTHER_LINK)
+    assert table.flush() == [(OTHER_LINK, release(CALL_A))]
+    table.calls.events.append(io.TimerDue(1))
+    [(_, again)] = table.flush(io.Send(CALL_A, OFFICE, table.now + 900 * MS))
+    assert again.kind == isup.IAM
+    assert table.calls.handle_office_message(table.now, OTHER_LINK, answer(CALL_A))
+    table.flush()
+    table.calls.link_up(table.now, OFFICE, LINK)
+    table.calls.link_lost(table.now, OTHER_LINK)
+    assert table.flush() == []  # the release of the first attempt is not sent any more
+
+
+def test_release_of_a_timed_out_attempt_is_sent_again_if_its_link_is_lost() -> None:
+    # Guards against a call that stands at an office for ever, as answer and release were lost with the link.
+    table = CallTableRig()
+    table.offer(CALL_A)
+    assert table.advance(900) == [(LINK, release(CALL_A))]
+    table.calls.link_lost(table.now, LINK)
+    table.calls.link_up(table.now, OFFICE, OTHER_LINK)
+    assert table.flush() == [(OTHER_LINK, release(CALL_A))]
+
+
 def test_set_ups_on_a_silent_link_end_without_answer() -> None:
     table = CallTableRig()
     table.offer()
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -193,6 +193,9 @@
             office.on_set_up = spoil_once
             answer = await place_call(caller, number)  # another attempt succeeds after the fault
             assert answer.kind == isup.ANM
+            # The call may stand where its answer was spoilt or lost, so it is released there.
+            first_release = Message(isup.REL, call_reference(number), {isup.CAUSE: b"\x10"})
+            await platform.wait_until(lambda sent=first_release: sent in office.received)  # type: ignore[misc]
             description = answer.parameters[isup.DESCRIPTION]  # of the office that took that attempt
             assert description in [
                 f"{each.name} {call_reference(number)}\r\n".encode() for each in platform.offices
