End reported calls that their office lost while this process was down

Cause: a reported call counted as set up at its report, so no earlier start of its office could cut it.

The start alone does not tell whether a call was set up before or after it. The circuits in use do: reports of a source that exceed them for 1 s are cut, if the office started less than the longest holding time ago. A start after that of this process cuts reported calls whenever it is told.

The records of reports moved out of `calls.py`.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -21,13 +21,12 @@
 from eiderstep.node import mapping
 from eiderstep.node.pending_releases import PendingReleases
 from eiderstep.node.records import Attempt, AttemptState, Call, CallState
+from eiderstep.node.reported_calls import ReportedCalls
 
 MS = 1_000_000
 SECOND = 1000 * MS
 OPEN_STATES = (AttemptState.WAITING, AttemptState.SENT)
 MAX_REMEMBERED_ENDS = 4096  # releases of unknown calls, kept for an `at` report that arrives after one
-# Shares of the call table for calls that callers report as standing: all of them, and those of one source.
-REPORTED_SHARE, REPORTED_SHARE_OF_SOURCE = 1 / 2, 1 / 4
 MAX_HOLDING_TIMES = 30  # in mean holding times; one call in 10^13 stands longer
 
 
@@ -36,14 +35,15 @@
 
     def __init__(
         self, settings: io.Settings, class_names: Sequence[str], dial_timeout: int, seed: int,
-        controller_factory: ControllerFactory | None = None, max_calls: int = 20_000,
+        controller_factory: ControllerFactory | None = None, max_calls: int = 20_000, started_at: int = 0,
     ) -> None:  # fmt: skip
-        """`dial_timeout`: how long a set-up waits for a link; `max_calls`: limit of calls held."""
-        self.dial_timeout, self.max_calls = dial_timeout, max_calls
+        """`dial_timeout`: how long a set-up waits for a link; `max_calls`: limit of calls held;
+        `started_at`: when this process started (ns)."""
+        self.dial_timeout, self.max_calls, self.started_at = dial_timeout, max_calls, started_at
         self.setup_reader = mapping.SetUpReader(settings, class_names)
         self.controller = (controller_factory or Controller)(settings, seed)
         self.calls: dict[str, Call] = {}
-        self.offices: set[str] = set()  # on the list, including draining ones
+        self.offices: dict[str, int] = {}  # on the list, including draining ones: when they started (ns)
         self.links_by_office: dict[str, list[int]] = {}  # flows, by office
         self.office_by_link: dict[int, str] = {}  # by flow
         self.attempts_by_link: dict[int, dict[str, Attempt]] = {}  # attempts sent, by flow and call reference
@@ -60,7 +60,8 @@
         # The first state on a new link is always applied: set-ups lost with the old link seized no circuits.
         self.group_states: dict[str, tuple[bytes, int]] = {}  # last state and its flow, by office
         self.free_circuits: dict[str, int] = {}  # by office: last reported, less set-ups sent since
-        self.reported_calls: Counter[str] = Counter()  # standing calls known from reports only, by source
+        self.circuits_in_use: dict[str, int] = {}  # by office: last reported on one of the present links
+        self.reported_calls = ReportedCalls(max_calls)
         self.pending_releases = PendingReleases()
         self.unknown_call_ends: OrderedDict[str, int] = OrderedDict()  # causes of releases of unknown calls
         self.timers = Timers()
@@ -126,7 +127,7 @@
             self._count("calls at their limit")
             self._refuse_set_up(flow, message.call, isup.EQUIPMENT_CONGESTION)
             return True
-        if isinstance(offer, str):
+        if isinstance(offer, mapping.StandingReport):
             self._adopt_standing_call(now, flow, message, offer, existing)
             return True
         if existing is not None:
@@ -141,7 +142,7 @@
         return True
 
     def _adopt_standing_call(
-        self, now: int, flow: int, message: Message, office: str, existing: Call | None
+        self, now: int, flow: int, message: Message, report: mapping.StandingReport, existing: Call | None
     ) -> None:
         """Adopt a call that a caller reports as standing at an office (`at`) after a restart of this process.
 
@@ -154,7 +155,7 @@
                 self._attach_to_caller(existing, flow)
                 existing.source = self.caller_sources[flow]
             return
-        end_cause = self.unknown_call_ends.pop(message.call, None)
+        office, end_cause = report.office, self.unknown_call_ends.pop(message.call, None)
         if end_cause is not None or office not in self.offices:
             self.outgoing.append(
                 (
@@ -168,25 +169,33 @@
                 self._release_to_office(now, office, message.call, end_cause)
             return
         source = self.caller_sources[flow]
-        if not self._may_report(source):
+        if not self.reported_calls.may_add(source):
             self._count("reported calls at their limit")
             self._refuse_set_up(flow, message.call, isup.EQUIPMENT_CONGESTION)
             return
         call = self.calls[message.call] = Call(message, None, flow)
-        self.reported_calls[source] += 1
-        call.reported_by = source
-        self._start_standing(now, call, office, placed_at=now)
+        self.reported_calls.add(message.call, office, source, report.width)
+        self._start_standing(now, call, office, placed_at=self.started_at)  # an earlier process set it up
 
-    def _may_report(self, source: str) -> bool:
-        """Whether the table takes one more reported call of a source.
+    def cut_vanished_calls(self, now: int) -> None:
+        """Cut reported calls that an office lost when it restarted; to be called several times a second."""
+        for reference in self.reported_calls.find_over(now, lambda office: self._circuits_left(now, office)):
+            self._count("reported calls gone")
+            self._cut_call(now, reference, isup.TEMPORARY_FAILURE)
+
+    def _circuits_left(self, now: int, office: str) -> int | None:
+        """Circuits in use to an office without those of calls set up here.
 
-        A report proves nothing, and the call that it names is held for long.  The rest of the table is for
-        set-ups, and one source does not crowd out the reports of the others.
+        None if they are not known, or if a call that was set up before the office started would be too long.
         """
-        return (
-            self.reported_calls.total() < REPORTED_SHARE * self.max_calls
-            and self.reported_calls[source] < REPORTED_SHARE_OF_SOURCE * self.max_calls
+        if office not in self.circuits_in_use or now - self.offices.get(office, 0) > self.max_standing_time:
+            return None
+        own = (
+            self.calls[reference].width
+            for reference in self.standing_by_office.get(office, ())
+            if reference not in self.reported_calls
         )
+        return self.circuits_in_use[office] - sum(own)
 
     def _handle_caller_release(self, now: int, message: Message) -> None:
         """Withdraw a set-up or end a standing call; the caller may use any of its connections."""
@@ -233,11 +242,11 @@
             self.offices.clear()
         for entry in entries:
             if entry.state is io.OfficeState.GONE:
-                self.offices.discard(entry.office)
+                self.offices.pop(entry.office, None)
                 self.free_circuits.pop(entry.office, None)
                 self.group_states.pop(entry.office, None)
             else:
-                self.offices.add(entry.office)
+                self.offices[entry.office] = entry.started
         self.events.append(io.OfficeList(kind, entries))
 
     def link_up(self, now: int, office: str, flow: int) -> None:
@@ -265,6 +274,7 @@
             flows.remove(flow)
         if not flows:
             self.links_by_office.pop(office, None)
+            self.circuits_in_use.pop(office, None)
         outcome = io.Outcome.NO_ANSWER if silent else io.Outcome.CUT
         for attempt in self.attempts_by_link.pop(flow, {}).values():
             if attempt.state is AttemptState.SENT:
@@ -305,6 +315,7 @@
 
     def hand_over_links(self, office: str, successor: str) -> None:
         """Move the links of an office, and the set-ups sent on them, to the office that is really there."""
+        self.circuits_in_use.pop(office, None)
         for flow in self.links_by_office.pop(office, []):
             self.links_by_office.setdefault(successor, []).append(flow)
             self.office_by_link[flow] = successor
@@ -442,8 +453,7 @@
         """End a standing call, and release it towards the sides that do not know of the end yet."""
         call.state = CallState.OVER
         del self.calls[call.reference]
-        if call.reported_by:
-            self._forget_report(call.reported_by)
+        self.reported_calls.remove(call.reference)
         if call.limit_timer is not None:
             call.limit_timer.cancel()
         self._detach_from_caller(call)
@@ -463,11 +473,6 @@
         if to_caller:
             self._release_to_caller(now, call, cause)
 
-    def _forget_report(self, source: str) -> None:
-        self.reported_calls[source] -= 1
-        if not self.reported_calls[source]:
-            del self.reported_calls[source]
-
     def _release_to_office(self, now: int, office: str, reference: str, cause: int) -> None:
         self.pending_releases.add(now, office, reference, isup.encode_release(reference, cause))
         flows = self.links_by_office.get(office)
@@ -576,6 +581,8 @@
         """
         if report is not None and report.free is not None:
             self.free_circuits[office] = report.free
+            if report.size is not None:
+                self.circuits_in_use[office] = report.size - report.free
 
     def begin_shutdown(self, ends_at: int) -> None:
         """Have every open set-up answered by the end of this process (ns)."""
--- a/eiderstep/node/mapping.py
+++ b/eiderstep/node/mapping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from eiderstep import interface as io
@@ -39,6 +40,14 @@
     """A set-up with a missing or invalid parameter."""
 
 
+@dataclass(frozen=True, slots=True)
+class StandingReport:
+    """A set-up that reports a call which stands already (`at`)."""
+
+    office: str  # where it stands
+    width: int  # circuits; 1 if the class is unknown
+
+
 class SetUpReader:
     """Parses set-ups and checks them against the settings of the call classes."""
 
@@ -47,8 +56,8 @@
         self.class_widths = [cls.width for cls in settings.classes]
         self.max_wait_ms = MAX_WAIT_FACTOR * max(cls.give_up for cls in settings.classes) // MS
 
-    def parse(self, received_at: int, message: Message) -> io.CallOffered | str:
-        """Return the offer to the module, or the office where the call already stands.
+    def parse(self, received_at: int, message: Message) -> io.CallOffered | StandingReport:
+        """Return the offer to the module, or the report of a call that stands already.
 
         `received_at`: the earliest time at which the message can have arrived (ns), from which its wait
         counts.  Raises InvalidSetUp.
@@ -57,16 +66,17 @@
         pairs = parse_pairs(text)
         if message.call == isup.NO_CALL:
             raise InvalidSetUp("call reference 0")
+        class_name = message.text_parameter(isup.CLASS) or ""
+        class_no = self.class_numbers.get(class_name)
         if pairs is None:
             office = self._standing_at(text)
             if office:
-                return office
+                return StandingReport(office, self.class_widths[class_no] if class_no is not None else 1)
             raise InvalidSetUp("parameter 185 is malformed; allowed: name:value pairs such as dest:2;width:1")
-        name, wait_ms = message.text_parameter(isup.CLASS), message.decimal_parameter(isup.GIVE_UP_TIME)
+        wait_ms = message.decimal_parameter(isup.GIVE_UP_TIME)
         number = message.text_parameter(isup.NUMBER)
-        class_no = self.class_numbers.get(name or "")
         if class_no is None:
-            raise InvalidSetUp(f"parameter 180: unknown class {(name or '')[:40]!r}")
+            raise InvalidSetUp(f"parameter 180: unknown class {class_name[:40]!r}")
         if wait_ms is None or not 0 < wait_ms <= self.max_wait_ms:
             raise InvalidSetUp(f"parameter 181; allowed: 1 to {self.max_wait_ms} ms")
         if not number or len(number) > MAX_NUMBER_LENGTH or " " in number:
--- a/eiderstep/node/records.py
+++ b/eiderstep/node/records.py
@@ -31,7 +31,7 @@
 
     __slots__ = (
         "attempt", "attempt_count", "expires", "flow", "forwarded", "limit_timer", "office", "placed_at",
-        "reference", "reported_by", "source", "state", "width",
+        "reference", "source", "state", "width",
     )  # fmt: skip
 
     def __init__(self, message: Message, offer: io.CallOffered | None, flow: int) -> None:
@@ -43,8 +43,7 @@
         self.attempt_count = 0
         self.attempt: Attempt | None = None
         self.office = self.source = ""
-        self.reported_by = ""  # source of a call that is known from its caller's report only
-        # Ns; of a standing call: when its set-up was sent or, for a reported one, when the report came.
+        # Ns; of a standing call: when its set-up was sent or, for a reported one, the latest possible time.
         self.placed_at = 0
         self.limit_timer: Timer | None = None
 
--- a/eiderstep/node/server.py
+++ b/eiderstep/node/server.py
@@ -70,6 +70,7 @@
                 config.dial_timeout,
                 config.seed,
                 max_calls=config.max_calls,
+                started_at=self.now(),
             )
         except ValueError as error:
             raise ConfigError(f"settings: {error}") from None
@@ -354,6 +355,8 @@
             return
         now = self.now()
         self.calls.discard_expired(now)
+        self.calls.cut_vanished_calls(now)
+        self._schedule_flush()
         silent = set(self.caller_limits.silent_connections(now))
         for connection in list(self.connections.values()):
             if connection.closing_at and now - connection.closing_at > CLOSE_TIMEOUT:
--- a/tests/node_rig.py
+++ b/tests/node_rig.py
@@ -65,9 +65,11 @@
 class CallTableRig:
     """A `CallTable` with two offices, a link to the first and a connection from a caller."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_calls: int = 20_000) -> None:
         self.now = START
-        self.calls = CallTable(SETTINGS, ("voice", "wide"), 500 * MS, 1, ScriptedController)
+        self.calls = CallTable(
+            SETTINGS, ("voice", "wide"), 500 * MS, 1, ScriptedController, max_calls, started_at=START
+        )
         assert isinstance(self.calls.controller, ScriptedController)
         self.controller = self.calls.controller
         self.effects: list[fx.Effect] = []
--- a/tests/test_address_takeover.py
+++ b/tests/test_address_takeover.py
@@ -121,7 +121,7 @@
         new_link.data_received(release(LATE_CALL).encode())
         rig.node._flush()
         assert rig.released() == {EARLY_CALL, REPORTED_CALL, LATE_CALL}
-        assert set(rig.node.links.peers) == {NEW} and rig.node.calls.offices == {NEW}
+        assert set(rig.node.links.peers) == {NEW} and set(rig.node.calls.offices) == {NEW}
 
     run(scenario)
 
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -574,8 +574,7 @@
 
 def test_reported_calls_leave_room_for_set_ups_and_for_other_sources() -> None:
     """Guards against a caller that fills the table with reports of calls that never stood."""
-    table = CallTableRig()
-    table.calls.max_calls = 16
+    table = CallTableRig(max_calls=16)
 
     def report(number: int, flow: int) -> bool:
         message = set_up(f"{number:016x}", pairs=f"dest:1;width:1;via:-1;at:{OFFICE}")
