Do not round up each call server's part of a cold office's budget

Cause: `len(cold_sends) < quota` with a quota of 1.03 allowed two set-ups to each of 35 call servers; parts just above a whole number doubled the budget.

The whole number may be sent at any time; for the rest the call servers take turns, as for parts under one. The budget moved to policy/cold_budget.py.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -29,6 +29,7 @@
 from typing import Any
 
 from eiderstep import interface as io
+from eiderstep.policy.cold_budget import ColdBudget
 from eiderstep.policy.decaying_count import DecayingCount
 from eiderstep.policy.held_calls import CallsAhead, HeldCalls
 from eiderstep.policy.processors import ANSWER_HALF_LIFE, PENDING_ALLOWANCE, Office, OwnProcessor
@@ -51,7 +52,6 @@
 OWN_DOWN_RETRY = 0.5  # time constants between trials while the own processor is down
 
 # Cold offices.
-COLD_BUDGET_SHARE = 0.8  # of this controller's part of the budget
 COLD_DEFAULT_RATE = 1.0  # set-ups a second; least rate assumed of a warm office where none reports a rate
 
 # Backoff of a tandem for a destination to which it turned a call back.
@@ -204,7 +204,8 @@
         for entry in event.entries:
             office = self.offices.get(entry.office)
             if office is None or (entry.started or 0) > office.started:
-                office = self.offices[entry.office] = Office(entry, self.time_constant)
+                budget = ColdBudget(self.settings, entry.started)
+                office = self.offices[entry.office] = Office(entry, self.time_constant, budget)
             elif office.state is io.OfficeState.UP and entry.state is not io.OfficeState.UP:
                 self.add_note(f"drain {entry.number}", f"office {entry.number} drains or is gone")
             office.state = entry.state
@@ -426,7 +427,8 @@
             return max(group.time_until_released(circuits), wait)
         if self.cold_budget_allows(office):
             return wait or math.inf
-        return max(office.cold_retry_at - self.now, 0) + ahead.calls * office.cold_turn_period
+        interval = office.cold_budget.mean_interval(self.warm_rate(office))
+        return max(office.cold_retry_at - self.now, 0) + ahead.calls * interval
 
     def queue_key(self, call: Call) -> int:
         """The destination, or UNLINKED_QUEUE for all calls that have no group to theirs."""
@@ -572,52 +574,29 @@
     def cold_budget_allows(self, office: Office) -> bool:
         """Rule 4: whether this controller's part of a cold office's budget allows a set-up now.
 
-        If that part is less than one set-up in a window, the controllers take turns in the order of their
-        ordinals; a turn lapses after half a window.  If not allowed, the calls held for the office are
-        retried when it is.
+        If not, the calls held for the office are retried when it does.
         """
-        settings, age = self.settings, self.now - office.started
-        if not office.started or age >= settings.cold_time or not settings.cold_window:
+        budget = office.cold_budget
+        if not budget.is_cold(self.now):
             return True
-        while office.cold_sends and office.cold_sends[0] <= self.now - settings.cold_window:
-            office.cold_sends.popleft()
-        max_rates = [o.max_rate for o in self.offices.values() if o.max_rate and o.name != office.name]
-        # If no office reports a rate: each receives as many set-ups as it sends, and has to process both.
-        rate = (
-            sum(max_rates) / len(max_rates)
-            if max_rates
-            else max(2 * self.answers.rate(self.now), COLD_DEFAULT_RATE)
-        )
-        quota = (
-            COLD_BUDGET_SHARE
-            * settings.cold_multiple
-            * settings.cold_share
-            * rate
-            * settings.cold_window
-            / SECOND
-            / settings.controllers
-        )
-        period = settings.cold_window / max(quota, 1e-9)  # ns in which one set-up is due to this controller
-        since_turn = (age - settings.ordinal / settings.controllers * period) % period
-        if (
-            quota < 1.0
-            and since_turn <= min(age, settings.cold_window / 2)
-            and quota > 0
-            and not office.cold_sends
-        ):
-            return True
-        if quota >= 1.0 and len(office.cold_sends) < quota:
+        rate = self.warm_rate(office)
+        if budget.allows(self.now, rate):
             return True
         if self.now >= office.cold_retry_at:
-            until = (
-                office.cold_sends[0] + settings.cold_window
-                if quota >= 1.0
-                else self.now + int(period - since_turn)
-            )
-            office.cold_retry_at, office.cold_turn_period = until + 1, int(period)
+            office.cold_retry_at = budget.next_open(self.now, rate)
             self.schedule(office.cold_retry_at, lambda: self.retry_held_calls(office.number))
         return False
 
+    def warm_rate(self, office: Office) -> float:
+        """Set-ups a second that an office is taken to process once it is warm: the mean of the others.
+
+        If no office reports a rate: each receives as many set-ups as it sends, and has to process both.
+        """
+        max_rates = [o.max_rate for o in self.offices.values() if o.max_rate and o.name != office.name]
+        if max_rates:
+            return sum(max_rates) / len(max_rates)
+        return max(2 * self.answers.rate(self.now), COLD_DEFAULT_RATE)
+
     def send_set_up(self, call: Call, office: Office) -> bool:
         """Send one set-up if rules 1 to 5 allow it; they are checked for set-ups here and nowhere else."""
         settings = self.settings
@@ -629,8 +608,7 @@
         if not (call.not_before <= self.now < call.expires and up and self.cold_budget_allows(office)):
             return False  # rules 5, 1, 3 and 4
         self.held_calls.remove(call)
-        if office.started and self.now - office.started < settings.cold_time:
-            office.cold_sends.append(self.now)
+        office.cold_budget.record_send(self.now)
         group = self.groups[office.number]
         group.tandem_sends += office.number != call.dest
         if group.free is not None:
--- a/eiderstep/policy/processors.py
+++ b/eiderstep/policy/processors.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from eiderstep import interface as io
+from eiderstep.policy.cold_budget import ColdBudget
 from eiderstep.policy.decaying_count import DecayingCount
 
 SECOND = 1_000_000_000
@@ -26,7 +27,8 @@
 class Office:
     """One far processor: what the office list, its reports, its answers and missing answers say of it."""
 
-    def __init__(self, entry: io.OfficeEntry, time_constant: float) -> None:
+    def __init__(self, entry: io.OfficeEntry, time_constant: float, cold_budget: ColdBudget) -> None:
+        self.cold_budget = cold_budget
         self.name, self.number, self.time_constant = entry.office, entry.number, time_constant
         # `full_until`: end of the wait named by a full processor.
         self.state, self.started, self.full_until = entry.state, entry.started, 0
@@ -39,8 +41,7 @@
         self.report_time_constant = self.excess_time_constant = time_constant
         # Own set-ups since the last report; timeouts since the last answer; circuit breaker.
         self.sent_since_report, self.timeouts, self.breaker_open = 0, 0, False
-        # When the breaker admits a trial; when held calls are retried while cold; time between two turns.
-        self.retry_at = self.cold_retry_at = self.cold_turn_period = 0
+        self.retry_at = self.cold_retry_at = 0  # when the breaker admits a trial, the cold budget a set-up
         self.backoff = 0.0
         self.trial_call: str | None = None  # the one call that may pass the open breaker
         self.answers = DecayingCount(ANSWER_HALF_LIFE * time_constant)
@@ -50,7 +51,6 @@
             DecayingCount(ANSWER_HALF_LIFE * time_constant),
         )
         self.pending: dict[str, int] = {}  # unanswered set-ups and when they were sent, oldest first
-        self.cold_sends: deque[int] = deque()  # times of own set-ups while the office is cold
 
     def record_answer(self, now: int) -> None:
         """The office answered, whatever it said: close the breaker."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -182,3 +182,20 @@
         server.update_list(io.ListKind.CHANGES, office_entry(1, started=server.now))
         server.run_until(server.now + SECOND)
         assert bool(sends(server.offer_call(2))) == ("cold_window" in changes)
+
+
+def test_fleet_whose_part_is_just_above_one_set_up_does_not_double_the_budget_of_a_cold_office() -> None:
+    # Guards against a part of the budget that each call server rounds up to the next whole number.
+    fleet = [Rig(rig.build_settings(controllers=36, ordinal=n), seed=n) for n in range(36)]
+    sent = 0
+    for server in fleet:
+        for n in (1, 2, 3):
+            figures = io.LoadReport(free=500, size=500, max_rate=38.6)
+            server.handle(io.OfficeHeard(address(n), True, True, 0, figures))
+        server.update_list(io.ListKind.CHANGES, office_entry(1, started=server.now))
+        server.run_until(server.now + SECOND // 2)
+        actions = [action for _ in range(4) for action in server.offer_call(2, dest=1)]
+        sent += sum(action.office == address(1) for action in sends(actions))
+    settings = fleet[0].settings
+    budget = settings.cold_multiple * settings.cold_share * 38.6 * settings.cold_window / SECOND
+    assert len(fleet) <= sent <= budget
