Keep the registry client's connection open after a body read in chunks

It is asked at the end of the headers now, and a close ends such a body. A probe of the poller shows one connection for three polls, three before.

--- a/eiderstep/registry/http.py
+++ b/eiderstep/registry/http.py
@@ -84,7 +84,9 @@
         self.response = Response()
         self.open_sink: Callable[[int, dict[str, str]], Any] | None = None
         self.decompressor: Any = None
-        self.closed = self.complete = False
+        self.closed = self.complete = self.keep_alive = False
+        self.ends_with_connection = False  # the response has no length of its own (RFC 9112, 6.3)
+        self.answered = False  # at least one request
         self.last_data_at = 0.0
         self.unread_chunks: deque[bytes] = deque()  # of the body, as received
 
@@ -100,7 +102,7 @@
     def send(self, data: bytes, open_sink: Callable[[int, dict[str, str]], Any]) -> asyncio.Future[Response]:
         self.pending = self.client.loop.create_future()
         self.response, self.open_sink, self.decompressor = Response(), open_sink, None
-        self.complete = False
+        self.complete = self.ends_with_connection = False
         self.unread_chunks.clear()
         self.parser = httptools.HttpResponseParser(self)
         self.last_data_at = self.client.loop.time()
@@ -129,6 +131,9 @@
     def on_headers_complete(self) -> None:
         response = self.response
         response.status = self.parser.get_status_code()
+        # The parser forgets it with the end of the message, which may come before the body has been read.
+        self.keep_alive = self.parser.should_keep_alive()
+        self.ends_with_connection = not response.headers.keys() & {"content-length", "transfer-encoding"}
         if self.open_sink is not None:
             response.sink = self.open_sink(response.status, response.headers)
         encoding = response.headers.get("content-encoding", "identity").lower()
@@ -187,8 +192,9 @@
             self.abort("truncated gzip body")
             return
         if self.pending is not None and not self.pending.done():
+            self.answered = True
             self.pending.set_result(self.response)
-        if not self.parser.should_keep_alive() and not self.closed:
+        if not self.keep_alive and not self.closed:
             self.transport.close()
 
     def abort(self, reason: str) -> None:
@@ -202,7 +208,12 @@
         self._trace("down", b"")
         if self.complete:
             return  # the response is complete; its remaining chunks are still being read
+        if exc is None and self.ends_with_connection:
+            self.on_message_complete()
+            return
         if self.pending is not None and not self.pending.done():
+            if self.answered:
+                self.client.broke_off_at = self.client.loop.time()
             when = " before the response was complete" if self.response.received_bytes else ""
             self.pending.set_exception(RequestFailed(f"connection lost{when}"))
 
@@ -220,6 +231,8 @@
         self.server_name = tls.name or None if tls is not None else None
         self.connection: _Connection | None = None
         self.connections_made = 0
+        # When the far end last ended a connection on which it had answered, under a request (loop time).
+        self.broke_off_at: float | None = None
 
     async def request(
         self,
--- a/tests/test_eureka.py
+++ b/tests/test_eureka.py
@@ -397,6 +397,14 @@
             raise ValueError("over a megabyte")
 
 
+async def read_body(link: HttpClient) -> int:
+    """Request a document; return the size of its body."""
+    sink = LimitedSink()
+    response = await link.request("GET", "/", {}, open_sink=lambda status, headers: sink)
+    assert response.status == 200
+    return sink.received
+
+
 def gzip_response(body: bytes) -> bytes:
     return b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
 
@@ -446,6 +454,33 @@
     run_virtual(run)
 
 
+def test_connection_is_kept_after_a_body_that_was_read_in_chunks() -> None:
+    # Guards against a new connection for each poll, and so against taking none for a sign of life.
+    async def run(loop: VirtualLoop) -> None:
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        server = await loop.create_server(lambda: FixedResponder(response, close_after=False))
+        host, port = server.sockets[0].getsockname()
+        link = HttpClient(loop, f"{host}:{port}", RequestTimeouts(1, 1, 5))
+        for _ in range(3):
+            assert await read_body(link) == 2
+        assert link.connections_made == 1
+
+    run_virtual(run)
+
+
+def test_body_without_a_length_ends_with_the_connection() -> None:
+    # Guards against a change log that is never understood, as it ends its answers by closing.
+    async def run(loop: VirtualLoop) -> None:
+        server = await loop.create_server(lambda: FixedResponder(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 70_000))
+        host, port = server.sockets[0].getsockname()
+        link = HttpClient(loop, f"{host}:{port}", RequestTimeouts(1, 1, 5))
+        for _ in range(2):
+            assert await read_body(link) == 70_000
+        assert link.connections_made == 2
+
+    run_virtual(run)
+
+
 # -- real sockets ------------------------------------------------------------------------------------------
 
 
