Send nothing while a drain may count as told that the change log hid

Cause: nothing knew how long the change log had not been heard.

Polls ask for an answer at once meanwhile.

The process test failed before.

--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -10,7 +10,7 @@
 
 1. Each call gets one final answer, at the latest when it expires.
 2. A call has one attempt at a time and at most `attempt_cap` attempts.
-3. No set-up is sent to an office that drains or is gone.
+3. No set-up is sent to an office that drains or is gone, nor to any while the list may be out of date.
 4. All controllers together stay within the set-up budget of a cold office.
 5. After an attempt that got no answer, was cut or was cancelled, the next one waits for `release_wait`.
 
@@ -59,6 +59,7 @@
 TANDEM_BACKOFF_CAP = 8.0  # times the first backoff
 
 LIST_RETRY = 2 * SECOND  # after a failed request for the office list
+MIN_LIST_OUTAGE = SECOND // 4  # least time that an outdated list is expected to stay so
 MIN_RECHECK_INTERVAL = SECOND // 50  # between two estimates of when a route opens for a held call
 RETRY_BATCH = 64  # calls of a queue tried at one report of a group; bounds the work of a report
 UNLINKED_QUEUE = -2  # key of the queue of held calls that have no group to their destination
@@ -141,13 +142,14 @@
         # Length of a stall of this process that has just ended; whether some exchanges lack a group.
         self.last_token, self.offer_count, self.stall, self.partial_mesh = 0, 0, 0, False
         self.ends_at: int | None = None  # end of this process, once it shuts down
+        self.list_valid_until: int | None = None  # None: without limit
         self.note_times: dict[str, int] = {}
         self.actions: list[io.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
             io.OfficeList: self.on_office_list, io.CallOffered: self.on_call_offered,
             io.CallStands: self.on_call_stands, io.AttemptEnded: self.on_attempt_ended,
             io.OfficeHeard: self.on_office_heard, io.TimerDue: self.on_timer_due,
-            io.ShutdownBegun: self.on_shutdown_begun,
+            io.ShutdownBegun: self.on_shutdown_begun, io.ListConfirmed: self.on_list_confirmed,
             io.CallGone: lambda event: self.finish_call(self.calls.get(event.call), None),
         }  # fmt: skip
 
@@ -220,6 +222,25 @@
                 if office.number != settings.own_number:
                     self.groups.setdefault(office.number, Group(self.classes))
 
+    def on_list_confirmed(self, event: io.ListConfirmed) -> None:
+        """Set-ups may rely on the list of offices for longer; try the held calls if they could not."""
+        was_outdated = self.list_is_outdated()
+        self.list_valid_until = event.valid_until
+        if was_outdated and not self.list_is_outdated():
+            self.add_note("list current", "the list of offices is up to date again")
+            for number in self.groups:
+                self.retry_held_calls(number)
+
+    def list_is_outdated(self) -> bool:
+        """Whether drains may have gone unheard for so long that nothing may be sent anywhere (rule 3)."""
+        return self.list_valid_until is not None and self.now >= self.list_valid_until
+
+    def time_until_list_confirmed(self) -> int:
+        """Expected time (ns) until an outdated list is confirmed: as long again as it has been outdated."""
+        if self.list_valid_until is None or not self.list_is_outdated():
+            return 0
+        return max(self.now - self.list_valid_until, MIN_LIST_OUTAGE)
+
     def on_office_heard(self, event: io.OfficeHeard) -> None:
         office = self.offices.get(event.office)
         if office is not None:
@@ -390,7 +411,12 @@
         ahead = self.held_calls.ahead_of(queue, call)
         numbers = self.groups if queue == UNLINKED_QUEUE else (call.dest,)
         own_wait = self.own_processor.expected_wait(self.now) - SHED_START_WAIT * self.shortest_aim
-        minimum = max(self.own_processor.down_until - self.now, call.not_before - self.now, own_wait)
+        minimum = max(
+            self.own_processor.down_until - self.now,
+            call.not_before - self.now,
+            own_wait,
+            self.time_until_list_confirmed(),
+        )
         if minimum > 0:
             return minimum
         return min((self.time_until_office_opens(call, n, ahead) for n in numbers), default=math.inf)
@@ -604,6 +630,9 @@
             return False  # rule 2
         if office.number == settings.own_number or (call.transit and office.number != call.dest):
             return False
+        if self.list_is_outdated():
+            self.add_note("list outdated", "the list of offices is out of date: no calls are sent")
+            return False  # rule 3
         up = office.state is io.OfficeState.UP
         if not (call.not_before <= self.now < call.expires and up and self.cold_budget_allows(office)):
             return False  # rules 5, 1, 3 and 4
--- a/eiderstep/interface.py
+++ b/eiderstep/interface.py
@@ -210,8 +210,19 @@
     ends_at: int
 
 
+@dataclass(frozen=True, slots=True)
+class ListConfirmed:
+    """The list of offices is complete; set-ups may rely on it until the given time.
+
+    Without any such event the list is relied on without limit.
+    """
+
+    valid_until: int
+
+
 Event = (
     OfficeList
+    | ListConfirmed
     | CallOffered
     | CallGone
     | CallStands
--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -44,6 +44,7 @@
         self.controller = (controller_factory or Controller)(settings, seed)
         self.calls: dict[str, Call] = {}
         self.offices: dict[str, int] = {}  # on the list, including draining ones: when they started (ns)
+        self.list_valid_until: int | None = None  # ns; None: without limit
         self.links_by_office: dict[str, list[int]] = {}  # flows, by office
         self.office_by_link: dict[int, str] = {}  # by flow
         self.attempts_by_link: dict[int, dict[str, Attempt]] = {}  # attempts sent, by flow and call reference
@@ -249,6 +250,11 @@
                 self.offices[entry.office] = entry.started
         self.events.append(io.OfficeList(kind, entries))
 
+    def confirm_list(self, valid_until: int) -> None:
+        """Set-ups may rely on the list of offices until `valid_until` (ns)."""
+        self.list_valid_until = valid_until
+        self.events.append(io.ListConfirmed(valid_until))
+
     def link_up(self, now: int, office: str, flow: int) -> None:
         """Register a new link to an office and send the set-ups that wait for one."""
         self.office_by_link[flow] = office
@@ -257,7 +263,11 @@
         self.links_by_office.setdefault(office, []).append(flow)
         self._send_pending_releases(now, office, flow)
         for attempt in self.waiting_for_link.pop(office, ()):
-            if attempt.state is AttemptState.WAITING:
+            if attempt.state is not AttemptState.WAITING:
+                continue
+            if self.list_valid_until is not None and now >= self.list_valid_until:
+                self._end_attempt(now, attempt, io.Outcome.NOT_SENT, io.Cause.NONE, None, False)
+            else:
                 self._send_set_up(now, attempt, flow)
 
     def link_lost(self, now: int, flow: int, silent: bool = False) -> None:
--- a/eiderstep/node/changelog.py
+++ b/eiderstep/node/changelog.py
@@ -5,10 +5,11 @@
 import asyncio
 import json
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from eiderstep import interface as io
 from eiderstep.node import mapping
+from eiderstep.node.list_validity import ListValidity
 from eiderstep.registry.http import HttpClient, RequestFailed, RequestTimeouts
 
 SECOND = 1_000_000_000
@@ -16,11 +17,24 @@
 POLL_TIMEOUT = 1.0
 ANSWER_MARGIN = 0.5  # further seconds after which a poll without an answer is late, and the next one begins
 LATE_POLL_TIMEOUT = 7.0  # seconds from its start after which a late poll is given up
-RETRY_DELAYS = 0.1, 0.5  # seconds before the poll after a failed one: initial and maximum
+RETRY_DELAYS = 0.1, 0.25  # seconds before the poll after a failed one: initial and maximum
+MAX_POLLS = 6  # at a time
+# Ns without word from the change log after which polls ask for an answer at once: it shows that it is back.
+ASK_AT_ONCE_AGE = 2 * SECOND
 MAX_ANSWER_SIZE = 1 << 20  # bytes
 UpdateCallback = Callable[[io.ListKind, tuple[io.OfficeEntry, ...], dict[str, str]], None]
 
 
+class ChangeLogHost(Protocol):
+    """What the poller needs of the call server that it belongs to."""
+
+    loop: asyncio.AbstractEventLoop
+
+    def now(self) -> int: ...
+    def log(self, level: str, event: str, **fields: Any) -> None: ...
+    def confirm_list(self, valid_until: int) -> None: ...
+
+
 class ChangeReader:
     """Applies each event of the change log once, in the order of sequence numbers.  Performs no I/O."""
 
@@ -28,10 +42,11 @@
         self.on_update = on_update
         self.last_sequence = 0
 
-    def apply_answer(self, answer: Any, initial: bool = False) -> None:
+    def apply_answer(self, answer: Any, initial: bool = False) -> bool:
         """Apply an answer of the change log, or `known` of the configuration (`initial`).
 
-        The whole answer is parsed before any of it is applied.  Raises mapping.InvalidOfficeList.
+        The whole answer is parsed before any of it is applied.  Returns whether it holds events.  Raises
+        mapping.InvalidOfficeList.
         """
         results = answer.get("results") if isinstance(answer, dict) else None
         if not isinstance(results, list):
@@ -56,6 +71,7 @@
                 tuple(entry for entry, _ in entries),
                 {entry.office: address for entry, address in entries},
             )
+        return bool(results)
 
 
 class _BodyBuffer:
@@ -82,17 +98,20 @@
     heard.  Answers may overtake each other, since each event is applied once.
     """
 
-    def __init__(
-        self, loop: asyncio.AbstractEventLoop, reader: ChangeReader, address: str, log: Callable[..., None]
-    ) -> None:
-        self.loop, self.reader, self.address, self.log = loop, reader, address, log
+    def __init__(self, host: ChangeLogHost, reader: ChangeReader, address: str, drain_grace: int) -> None:
+        """`drain_grace`: how long set-ups may still be sent after a drain was told (ns)."""
+        self.host, self.loop, self.reader, self.address = host, host.loop, reader, address
         self.task: asyncio.Task[None] | None = None
         self.polls: dict[asyncio.Task[bool], HttpClient] = {}  # in progress; all but the newest are late
+        self.validity = ListValidity(drain_grace, host.now())
 
     def start(self, address: str = "") -> None:
         """Start polling, at `address` if one is given; polls in progress are cancelled."""
-        self.address = address or self.address
+        if address and address != self.address:
+            self.address = address
+            self.validity.moved(self.host.now())
         self.stop()
+        self.host.confirm_list(self.validity.valid_until)
         self.task = self.loop.create_task(self._run())
 
     def stop(self) -> None:
@@ -108,13 +127,16 @@
         """Poll again and again, over one connection as long as its answers are in time."""
         delay, client = RETRY_DELAYS[0], self._make_client()
         while True:
-            poll = self.loop.create_task(self._poll(client))
+            wait = POLL_TIMEOUT if self.validity.age(self.host.now()) < ASK_AT_ONCE_AGE else 0.0
+            poll = self.loop.create_task(self._poll(client, wait))
             self.polls[poll] = client
-            await asyncio.wait({poll}, timeout=POLL_TIMEOUT + ANSWER_MARGIN)
+            await asyncio.wait({poll}, timeout=wait + ANSWER_MARGIN)
             if not poll.done():
-                self.log("warning", "change log late", address=self.address)
+                self.host.log("warning", "change log late", address=self.address)
                 poll.add_done_callback(self._end_late_poll)
                 client = self._make_client()
+                if len(self.polls) >= MAX_POLLS:
+                    await asyncio.wait(set(self.polls), return_when=asyncio.FIRST_COMPLETED)
                 continue
             del self.polls[poll]
             if poll.result():
@@ -132,18 +154,31 @@
         if client is not None:
             client.close()
 
-    async def _poll(self, client: HttpClient) -> bool:
+    async def _poll(self, client: HttpClient, wait: float) -> bool:
         """Ask for the events after the last one and apply them; return whether the answer was usable."""
-        body = _BodyBuffer()
-        path = f"/changes?since={self.reader.last_sequence}&timeout={int(POLL_TIMEOUT * 1000)}"
+        body, asked_at, last_sequence = _BodyBuffer(), self.host.now(), self.reader.last_sequence
+        path = f"/changes?since={last_sequence}&timeout={int(wait * 1000)}"
         try:
             answer = await client.request("GET", path, {}, open_sink=body.open_body)
             if answer.status != 200:
                 raise RequestFailed(f"status {answer.status}")
-            self.reader.apply_answer(json.loads(body.data))
+            had_events = self.reader.apply_answer(json.loads(body.data))
+            self.validity.answered(asked_at, int(wait * SECOND), self.host.now(), had_events)
+            self.host.confirm_list(self.validity.valid_until)
             return True
         except (RequestFailed, ValueError, RecursionError) as error:
-            self.log("warning", "change log failed", why=str(error), address=self.address)
+            self.host.log("warning", "change log failed", why=str(error), address=self.address)
+        self._note_break(client, asked_at, wait)
         if client.connection is not None:
             client.connection.abort("not understood")  # more of an invalid answer may follow: stop reading it
         return False
+
+    def _note_break(self, client: HttpClient, asked_at: int, wait: float) -> None:
+        """Take a connection that was ended while its answer was not yet due as a sign of life until then."""
+        if client.broke_off_at is None:
+            return
+        broke_off_at = self.host.now() - int((self.loop.time() - client.broke_off_at) * SECOND)
+        client.broke_off_at = None
+        if asked_at <= broke_off_at <= asked_at + int((wait + ANSWER_MARGIN) * SECOND):
+            self.validity.broke_off(broke_off_at)
+            self.host.confirm_list(self.validity.valid_until)
--- a/eiderstep/node/server.py
+++ b/eiderstep/node/server.py
@@ -79,7 +79,9 @@
         self.read_buffer = memoryview(bytearray(LINK_READ_SIZE))
         self.links = Links(self)
         self.change_reader = ChangeReader(self._update_offices)
-        self.change_log = ChangeLogPoller(loop, self.change_reader, config.changelog, self.log)
+        self.change_log = ChangeLogPoller(
+            self, self.change_reader, config.changelog, config.settings.drain_grace
+        )
         self.stall_watch = StallDetector(STALL_THRESHOLD)
         self.log_limiter = LogRateLimiter()
         self.flush_scheduled = False
@@ -297,6 +299,11 @@
 
     # -- list of offices, timers, effects -------------------------------------------------------------------
 
+    def confirm_list(self, valid_until: int) -> None:
+        """Set-ups may rely on the list of offices until `valid_until` (ns)."""
+        self.calls.confirm_list(valid_until)
+        self._schedule_flush()
+
     def _update_offices(
         self, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...], addresses: dict[str, str]
     ) -> None:
--- a/eiderstep/standin/platform.py
+++ b/eiderstep/standin/platform.py
@@ -173,7 +173,7 @@
         self.writers: list[asyncio.StreamWriter] = []
 
     async def listen(self) -> None:
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -250,6 +250,16 @@
     assert attempt_ends(table) == []
 
 
+def test_set_up_that_waits_for_a_link_is_not_sent_once_the_list_is_outdated() -> None:
+    table = CallTableRig()
+    table.calls.confirm_list(table.now + 100 * MS)
+    table.offer(office=OTHER_OFFICE)
+    table.now += 100 * MS
+    table.calls.link_up(table.now, OTHER_OFFICE, OTHER_LINK)
+    assert table.flush() == []
+    assert attempt_ends(table) == [(Outcome.NOT_SENT, Cause.NONE, False)]
+
+
 @pytest.mark.parametrize("refused", [True, False])
 def test_set_up_without_a_link_ends_as_unreachable(refused: bool) -> None:
     table = CallTableRig()
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -331,6 +331,40 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_nothing_is_sent_once_a_drain_may_count_as_told_unheard(tmp_path: Path) -> None:
+    """Guards against set-ups to an office that began to drain while the change log was down.
+
+    The platform excuses what a change log that is down did not tell for 7 s; set-ups may follow for another
+    0.55 s.  Until then every call is served, and again once the change log is back.
+    """
+
+    async def scenario(platform: Platform) -> None:
+        office, caller, loop = platform.offices[0], await platform.caller(), asyncio.get_running_loop()
+        polls = platform.change_log.polled_since
+        await platform.wait_until(lambda: len(polls) > 1)
+        platform.change_log.close()
+        down_since = loop.time()
+        number = 80
+        while loop.time() < down_since + 7:
+            assert (await place_call(caller, number)).kind == isup.ANM
+            office.release_call(call_reference(number))
+            assert (await caller.receive()).kind == isup.REL
+            number += 1
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(down_since + 7.55 - loop.time())
+        before = office.count_received(isup.IAM)
+        assert (await place_call(caller, number, give_up_ms=400)).kind == isup.REL
+        assert office.count_received(isup.IAM) == before
+        back = ChangeLog()
+        back.events, back.port = platform.change_log.events, platform.change_log.port
+        platform.change_log = back
+        await back.listen()
+        await platform.wait_until(lambda: platform.logged("the list of offices is up to date again"))
+        assert (await place_call(caller, number + 1)).kind == isup.ANM
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_reloaded_configuration_changes_the_change_log(tmp_path: Path) -> None:
     async def scenario(platform: Platform) -> None:
         assert platform.process is not None
