End set-ups that wait for a link to an office that begins to drain

A set-up that waits for a link was sent when the link came up, up to `dial_timeout` after the drain was told; where that is longer than the grace of a drain, it came too late. It ends as not sent with the change of the list now, and the decisions choose another route.

Without the call of `_end_waiting_set_ups` the new test fails for changes and for complete lists.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -237,7 +237,7 @@
 
     # -- offices -------------------------------------------------------------------------------------------
 
-    def update_offices(self, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
+    def update_offices(self, now: int, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
         """Apply a change of the list of offices."""
         if kind not in (io.ListKind.CHANGES, io.ListKind.FAILED):
             self.offices.clear()
@@ -249,6 +249,17 @@
             else:
                 self.offices[entry.office] = entry.started
         self.events.append(io.OfficeList(kind, entries))
+        self._end_waiting_set_ups(now, kind, entries)
+
+    def _end_waiting_set_ups(self, now: int, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
+        """End the set-ups that wait for a link to an office that drains or is gone; none of them was sent."""
+        up = {entry.office for entry in entries if entry.state is io.OfficeState.UP}
+        listed = {entry.office for entry in entries}
+        concerned = listed if kind is io.ListKind.CHANGES else set(self.waiting_for_link)
+        for office in concerned - up:
+            for attempt in self.waiting_for_link.pop(office, ()):
+                if attempt.state is AttemptState.WAITING:
+                    self._end_attempt(now, attempt, io.Outcome.NOT_SENT, io.Cause.NONE, None, False)
 
     def confirm_list(self, valid_until: int) -> None:
         """Set-ups may rely on the list of offices until `valid_until` (ns)."""
--- a/eiderstep/node/server.py
+++ b/eiderstep/node/server.py
@@ -316,7 +316,7 @@
             if entry.state is not io.OfficeState.GONE
         ]
         replaced = self.links.find_replaced(present, complete=kind is not io.ListKind.CHANGES)
-        self.calls.update_offices(kind, self._mark_replaced(entries, replaced))
+        self.calls.update_offices(self.now(), kind, self._mark_replaced(entries, replaced))
         self.links.replace_offices(replaced)
         for listed in present:
             if listed.office not in replaced:
--- a/tests/node_rig.py
+++ b/tests/node_rig.py
@@ -75,7 +75,9 @@
         self.effects: list[fx.Effect] = []
         up = io.OfficeState.UP
         self.calls.update_offices(
-            io.ListKind.REMEMBERED, (io.OfficeEntry(OFFICE, 1, up), io.OfficeEntry(OTHER_OFFICE, 2, up))
+            self.now,
+            io.ListKind.REMEMBERED,
+            (io.OfficeEntry(OFFICE, 1, up), io.OfficeEntry(OTHER_OFFICE, 2, up)),
         )
         self.calls.caller_connected(CALLER, "caller")
         self.calls.link_up(self.now, OFFICE, LINK)
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -250,6 +250,24 @@
     assert attempt_ends(table) == []
 
 
+@pytest.mark.parametrize("kind", [io.ListKind.CHANGES, io.ListKind.COMPLETE])
+def test_set_up_that_waits_for_a_link_is_not_sent_to_an_office_that_drains(kind: io.ListKind) -> None:
+    # Guards against a set-up after the grace of a drain, where links take longer to come up than that.
+    table = CallTableRig()
+    table.offer(office=OTHER_OFFICE)
+    entries = (
+        io.OfficeEntry(OTHER_OFFICE, 2, io.OfficeState.DRAINING),
+        io.OfficeEntry(OFFICE, 1, io.OfficeState.UP),
+    )
+    table.controller.events.clear()
+    table.calls.update_offices(table.now, kind, entries)
+    table.flush()
+    assert [type(event) for event in table.controller.events] == [io.OfficeList, io.AttemptEnded]
+    assert attempt_ends(table) == [(Outcome.NOT_SENT, Cause.NONE, False)]
+    table.calls.link_up(table.now, OTHER_OFFICE, OTHER_LINK)
+    assert table.flush() == []
+
+
 def test_set_up_that_waits_for_a_link_is_not_sent_once_the_list_is_outdated() -> None:
     table = CallTableRig()
     table.calls.confirm_list(table.now + 100 * MS)
@@ -276,7 +294,9 @@
 
 def test_set_up_is_not_sent_to_an_unlisted_office() -> None:
     table = CallTableRig()
-    table.calls.update_offices(io.ListKind.CHANGES, (io.OfficeEntry(OTHER_OFFICE, 2, io.OfficeState.GONE),))
+    table.calls.update_offices(
+        table.now, io.ListKind.CHANGES, (io.OfficeEntry(OTHER_OFFICE, 2, io.OfficeState.GONE),)
+    )
     assert table.offer(office=OTHER_OFFICE) == []
     assert attempt_ends(table) == [(Outcome.UNREACHABLE, Cause.NONE, False)]
 
@@ -394,7 +414,7 @@
 def test_class_and_office_names_outside_ascii_are_understood() -> None:
     # Guards against refusing every set-up of a class that the settings name with such letters.
     calls = CallTable(SETTINGS, ("données", "wide"), 500 * MS, 1, ScriptedController)
-    calls.update_offices(io.ListKind.REMEMBERED, (io.OfficeEntry("büro-1", 1, io.OfficeState.UP),))
+    calls.update_offices(START, io.ListKind.REMEMBERED, (io.OfficeEntry("büro-1", 1, io.OfficeState.UP),))
     calls.caller_connected(CALLER, "caller")
     messages = [
         set_up(CALL_A, class_name="données".encode()),
--- a/tests/test_node_reported_calls.py
+++ b/tests/test_node_reported_calls.py
@@ -34,7 +34,7 @@
 
     def list_office(self, started: int) -> None:
         entry = io.OfficeEntry(OFFICE, 1, io.OfficeState.UP, started)
-        self.table.calls.update_offices(io.ListKind.CHANGES, (entry,))
+        self.table.calls.update_offices(self.table.now, io.ListKind.CHANGES, (entry,))
 
     def report(self, first: int, count: int, flow: int = CALLER, class_name: bytes = b"voice") -> None:
         for number in range(first, first + count):
