Bound the memory of held set-ups and of incomplete messages

But `limits.memory_mb` was not used, and a held set-up kept every parameter that it came with.

A set-up keeps the three parameters that go to an office; set-ups and incomplete messages share an eighth of the limit. Set-ups beyond it are refused, and the oldest incomplete messages lose their connections.

--- a/eiderstep/node/caller_limits.py
+++ b/eiderstep/node/caller_limits.py
@@ -22,6 +22,9 @@
 MAX_SOURCES = 4096  # sources whose message rate is tracked
 
 
+WEIGHT_OPEN_SET_UP = 2  # of a connection that is never closed for others
+
+
 class CallerConnection:
     """One connection from a caller."""
 
@@ -65,7 +68,7 @@
         if silent is not None:
             return silent
         lightest = min((other for other in self.connections if other != flow), key=weight, default=flow)
-        return lightest if weight(lightest) < 2 else flow
+        return lightest if weight(lightest) < WEIGHT_OPEN_SET_UP else flow
 
     def message_received(self, flow: int) -> None:
         """Record a complete message on a connection."""
--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -19,6 +19,8 @@
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
 from eiderstep.node import mapping
+from eiderstep.node.caller_limits import WEIGHT_OPEN_SET_UP
+from eiderstep.node.memory_budget import DEFAULT_MEMORY_MB, MESSAGE_OVERHEAD, MemoryBudget
 from eiderstep.node.pending_releases import PendingReleases
 from eiderstep.node.records import Attempt, AttemptState, Call, CallState
 from eiderstep.node.reported_calls import ReportedCalls
@@ -36,9 +38,11 @@
     def __init__(
         self, settings: io.Settings, class_names: Sequence[str], dial_timeout: int, seed: int,
         controller_factory: ControllerFactory | None = None, max_calls: int = 20_000, started_at: int = 0,
+        memory: MemoryBudget | None = None,
     ) -> None:  # fmt: skip
         """`dial_timeout`: how long a set-up waits for a link; `max_calls`: limit of calls held;
-        `started_at`: when this process started (ns)."""
+        `started_at`: when this process started (ns); `memory`: limit of the set-ups held."""
+        self.memory = memory or MemoryBudget(DEFAULT_MEMORY_MB)
         self.dial_timeout, self.max_calls, self.started_at = dial_timeout, max_calls, started_at
         self.setup_reader = mapping.SetUpReader(settings, class_names)
         self.controller = (controller_factory or Controller)(settings, seed)
@@ -137,7 +141,14 @@
                 return False
             self._refuse_set_up(flow, message.call, isup.TEMPORARY_FAILURE)
             return True
-        self.calls[message.call] = Call(message, offer, flow)
+        call = Call(message, offer, flow)
+        size = MESSAGE_OVERHEAD + sum(len(value) for value in call.forwarded.values())
+        if not self.memory.take(size):
+            self._count("set-ups at their memory limit")
+            self._refuse_set_up(flow, message.call, isup.EQUIPMENT_CONGESTION)
+            return True
+        call.memory_used = size
+        self.calls[message.call] = call
         self.open_set_ups[flow].add(message.call)
         self.events.append(offer)
         return True
@@ -228,6 +239,7 @@
     def _close_set_up(self, now: int, call: Call) -> None:
         """Remove a call that is not standing, and give up its open attempt."""
         call.state = CallState.OVER
+        self._discard_parameters(call)
         self.calls.pop(call.reference, None)
         open_set_ups = self.open_set_ups.get(call.flow)
         if open_set_ups is not None:
@@ -433,13 +445,19 @@
     def _start_standing(self, now: int, call: Call, office: str, placed_at: int) -> None:
         call.state, call.office, call.source = CallState.STANDING, office, self.caller_sources[call.flow]
         call.placed_at = placed_at
-        call.discard_parameters()
+        self._discard_parameters(call)
         self.standing_by_office.setdefault(office, set()).add(call.reference)
         self._attach_to_caller(call, call.flow)
         call.limit_timer = self.timers.schedule(
             now + self.max_standing_time, lambda at: self._end_overlong_call(at, call)
         )
 
+    def _discard_parameters(self, call: Call) -> None:
+        """Drop what is needed for further attempts only."""
+        self.memory.give_back(call.memory_used)
+        call.memory_used = 0
+        call.discard_parameters()
+
     def _attach_to_caller(self, call: Call, flow: int) -> None:
         call.flow = flow
         self.standing_by_caller.setdefault(flow, set()).add(call.reference)
@@ -452,7 +470,7 @@
 
     def connection_weight(self, flow: int) -> int:
         """Weight of a caller's connection: 2 with an open set-up, 1 with a standing call, else 0."""
-        return 2 if self.open_set_ups.get(flow) else int(flow in self.standing_by_caller)
+        return WEIGHT_OPEN_SET_UP if self.open_set_ups.get(flow) else int(flow in self.standing_by_caller)
 
     def discard_expired(self, now: int) -> None:
         """Drop pending releases past their time; to be called regularly."""
--- a/eiderstep/node/config.py
+++ b/eiderstep/node/config.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from eiderstep import interface as io
+from eiderstep.node.memory_budget import DEFAULT_MEMORY_MB
 from eiderstep.reading import read_settings
 
 
@@ -107,7 +108,7 @@
         class_names=class_names,
         seed=seed_number,
         sockets=_get_integer(limits, "limits.", "sockets", 1024, 64, 2**20),
-        memory_mb=_get_integer(limits, "limits.", "memory_mb", 192, 16, 2**20),
+        memory_mb=_get_integer(limits, "limits.", "memory_mb", DEFAULT_MEMORY_MB, 16, 2**20),
         max_calls=_get_integer(caps, "settings.caps.", "max_open", 20_000, 1, 10**7),
         dial_timeout=_get_integer(caps, "settings.caps.", "dial_timeout", 500_000_000, 10**6, 3600 * 10**9),
     )
--- a/eiderstep/node/connections.py
+++ b/eiderstep/node/connections.py
@@ -27,6 +27,7 @@
     def link_up(self, connection: Connection) -> None: ...
     def connection_lost(self, connection: Connection) -> None: ...
     def messages_received(self, connection: Connection, items: list[Message | FramingError]) -> None: ...
+    def hold_partial_message(self, connection: Connection, size: int) -> None: ...
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -44,6 +45,7 @@
         self.source = ""
         # ns.  `partial_since`: since when an incomplete message has been buffered, 0 if none is.
         self.connected_at = self.last_received_at = self.partial_since = self.tested_at = 0
+        self.partial_size = 0  # bytes of an incomplete message that the host holds memory for
         self.closing_at = 0  # ns; when `close` was called, 0 before
         self.is_lost = False
         self.closed: asyncio.Future[None] | None = None  # only for links: done when the link is lost
@@ -78,6 +80,13 @@
             self.partial_since = self.last_received_at
         if items:
             self.host.messages_received(self, items)
+        if not self.office and len(self.parser.remainder) != self.partial_size:
+            self.host.hold_partial_message(self, len(self.parser.remainder))
+
+    def discard_partial_message(self) -> None:
+        """Drop an incomplete message; nothing more can be read after that."""
+        self.parser = Parser()
+        self.partial_since = 0
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_lost = True
--- a/eiderstep/node/records.py
+++ b/eiderstep/node/records.py
@@ -9,6 +9,8 @@
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
 
+FORWARDED = (isup.CLASS, isup.NUMBER, isup.DESCRIPTION)  # parameters passed on unchanged
+
 
 class CallState(Enum):
     """OFFERED -> STANDING -> OVER, or OFFERED -> OVER."""
@@ -30,8 +32,8 @@
     """One call, from its set-up to its release.  `flow`: the caller's connection that carries it."""
 
     __slots__ = (
-        "attempt", "attempt_count", "expires", "flow", "forwarded", "limit_timer", "office", "placed_at",
-        "reference", "source", "state", "width",
+        "attempt", "attempt_count", "expires", "flow", "forwarded", "limit_timer", "memory_used", "office",
+        "placed_at", "reference", "source", "state", "width",
     )  # fmt: skip
 
     def __init__(self, message: Message, offer: io.CallOffered | None, flow: int) -> None:
@@ -39,7 +41,11 @@
         self.expires = offer.expires if offer is not None else 0
         self.width = offer.width if offer is not None else 0
         self.state = CallState.OFFERED
-        self.forwarded: dict[int, bytes] = message.parameters if offer is not None else {}  # type: ignore[assignment]
+        # Parameters that go to the office; a set-up may have two hundred others.
+        self.forwarded: dict[int, bytes] = {}
+        if offer is not None:
+            self.forwarded = {c: message.parameters[c] for c in FORWARDED if c in message.parameters}
+        self.memory_used = 0  # bytes taken from the memory budget
         self.attempt_count = 0
         self.attempt: Attempt | None = None
         self.office = self.source = ""
@@ -49,9 +55,8 @@
 
     def encode_set_up(self, wait_ms: int) -> bytes:
         """Encode the set-up for an office: class, number and description as received, and `wait_ms`."""
-        forwarded = {isup.CLASS: self.forwarded[isup.CLASS], isup.GIVE_UP_TIME: str(wait_ms).encode()}
-        forwarded |= {c: self.forwarded[c] for c in (isup.NUMBER, isup.DESCRIPTION) if c in self.forwarded}
-        return Message(isup.IAM, self.reference, forwarded).encode()
+        parameters = {isup.CLASS: self.forwarded[isup.CLASS], isup.GIVE_UP_TIME: str(wait_ms).encode()}
+        return Message(isup.IAM, self.reference, parameters | self.forwarded).encode()
 
     def discard_parameters(self) -> None:
         """Drop the set-up parameters, which a standing call no longer needs; thousands of calls may stand."""
--- a/eiderstep/node/server.py
+++ b/eiderstep/node/server.py
@@ -17,12 +17,13 @@
 from eiderstep.isup.parser import FramingError
 from eiderstep.node import config as configuration
 from eiderstep.node.address_takeover import ListedOffice
-from eiderstep.node.caller_limits import FIRST_MESSAGE_TIMEOUT, CallerLimits
+from eiderstep.node.caller_limits import FIRST_MESSAGE_TIMEOUT, WEIGHT_OPEN_SET_UP, CallerLimits
 from eiderstep.node.calls import CallTable
 from eiderstep.node.changelog import ChangeLogPoller, ChangeReader
 from eiderstep.node.config import Config, ConfigError
 from eiderstep.node.connections import LINK_READ_SIZE, Connection
 from eiderstep.node.links import Links, Peer
+from eiderstep.node.memory_budget import MemoryBudget
 from eiderstep.node.shutdown import ShutdownSchedule
 from eiderstep.server.watch import StallDetector, tune_garbage_collector
 from eiderstep.trust.pace import LogRateLimiter
@@ -63,6 +64,7 @@
         self.latest_time = 0
         self.last_flow = 0
         self.random = Random(config.seed ^ 0x5EED)
+        self.memory = MemoryBudget(config.memory_mb)
         try:
             self.calls = CallTable(
                 config.settings,
@@ -71,6 +73,7 @@
                 config.seed,
                 max_calls=config.max_calls,
                 started_at=self.now(),
+                memory=self.memory,
             )
         except ValueError as error:
             raise ConfigError(f"settings: {error}") from None
@@ -246,6 +249,7 @@
     def connection_lost(self, connection: Connection) -> None:
         """Deregister a lost connection."""
         self.connections.pop(connection.flow, None)
+        self._release_partial_message(connection)
         if connection.office:
             self.calls.link_lost(self.now(), connection.flow)
             self.links.link_lost(connection)
@@ -263,6 +267,31 @@
             self._handle_caller_messages(now, connection, items)
         self._schedule_flush()
 
+    def hold_partial_message(self, connection: Connection, size: int) -> None:
+        """Take memory for an incomplete message of a caller; close the oldest others where there is none.
+
+        A connection with an open set-up is never closed for it.
+        """
+        self.memory.give_back(connection.partial_size)
+        connection.partial_size = 0
+        while size and not self.memory.take(size):
+            candidates = [c for c in self.connections.values() if c.partial_size or c is connection]
+            idle = [c for c in candidates if self.calls.connection_weight(c.flow) < WEIGHT_OPEN_SET_UP]
+            if not idle:
+                return
+            oldest = min(idle, key=lambda candidate: candidate.partial_since)
+            self.log("warning", "incomplete messages at their memory limit", source=oldest.source)
+            self._release_partial_message(oldest)
+            oldest.discard_partial_message()
+            oldest.abort()
+            if oldest is connection:
+                return
+        connection.partial_size = size
+
+    def _release_partial_message(self, connection: Connection) -> None:
+        self.memory.give_back(connection.partial_size)
+        connection.partial_size = 0
+
     def _handle_office_messages(
         self, now: int, connection: Connection, items: list[Message | FramingError]
     ) -> None:
