Drop set-ups that a caller wrote before it closed its connection

Cause: the end of a stream is read after all data before it, 2 KiB at a time and with pauses, and set-ups were offered until then.

The state of the TCP connection tells of the close; it is asked before set-ups are taken, and while reading is paused. Releases, confirmations and reports are taken as before.

Two of the three new tests failed before; the third guards the releases.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -57,6 +57,7 @@
         )  # flows of links that have sent nothing since they were tested
         self.waiting_for_link: dict[str, list[Attempt]] = {}  # attempts without a link, by office
         self.caller_sources: dict[int, str] = {}  # by flow
+        self.closed_by_caller: set[int] = set()  # flows whose caller has closed while data was unread
         self.open_set_ups: dict[int, set[str]] = {}  # calls with an open set-up, by the caller's flow
         self.standing_by_office: dict[str, set[str]] = {}  # standing calls, by office
         self.standing_by_caller: dict[int, set[str]] = {}  # standing calls, by the caller's flow
@@ -103,11 +104,22 @@
             return False
         return True
 
+    def caller_left(self, now: int, flow: int) -> None:
+        """A caller has closed its connection, and what it wrote before may still be unread.
+
+        It has given up its set-ups, read or not.  Releases, confirmations and reports are taken as before.
+        """
+        if flow in self.caller_sources:
+            self.closed_by_caller.add(flow)
+        for reference in list(self.open_set_ups.get(flow, ())):
+            self._withdraw_set_up(now, self.calls[reference])
+
     def caller_disconnected(self, now: int, flow: int) -> None:
         """Withdraw the open set-ups of a lost caller connection; its standing calls continue."""
+        self.caller_left(now, flow)
+        self.closed_by_caller.discard(flow)
         self.caller_sources.pop(flow, None)
-        for reference in self.open_set_ups.pop(flow, ()):
-            self._withdraw_set_up(now, self.calls[reference])
+        self.open_set_ups.pop(flow, None)
         self._resend_lost_releases(now, flow)
 
     def _handle_set_up(self, now: int, flow: int, message: Message, unread_time: int) -> bool:
@@ -135,6 +147,9 @@
         if isinstance(offer, mapping.StandingReport):
             self._adopt_standing_call(now, flow, message, offer, existing)
             return True
+        if flow in self.closed_by_caller:
+            self._count("set-ups of callers that left")
+            return True
         if existing is not None:
             self._count("ids used twice")
             if message.call in self.open_set_ups.get(flow, ()):
--- a/eiderstep/node/connections.py
+++ b/eiderstep/node/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any, Protocol, cast
 
 from eiderstep.isup.message import Message
@@ -14,6 +15,23 @@
 MAX_UNSENT = 256 * 1024  # bytes that may wait for a peer that does not read
 
 
+# States of a TCP connection that its peer has closed (tcp_states.h of Linux).
+TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
+
+
+def peer_has_closed(tcp_socket: Any) -> bool:
+    """Whether the peer has closed a connection, though data from it may still be unread.
+
+    False where the system does not tell.  The end of the stream is read only after all data, which may take
+    long for a connection that is read slowly.
+    """
+    try:
+        state = tcp_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except (OSError, ValueError, AttributeError):  # ValueError: uvloop has closed the socket
+        return False
+    return state in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
+
 class ConnectionHost(Protocol):
     """What a connection needs of the call server that it belongs to."""
 
@@ -47,7 +65,7 @@
         self.connected_at = self.last_received_at = self.partial_since = self.tested_at = 0
         self.partial_size = 0  # bytes of an incomplete message that the host holds memory for
         self.closing_at = 0  # ns; when `close` was called, 0 before
-        self.is_lost = False
+        self.is_lost = self.is_paused = False
         self.closed: asyncio.Future[None] | None = None  # only for links: done when the link is lost
 
     def connection_made(self, transport: Any) -> None:
@@ -106,9 +124,15 @@
         """Stop reading for `duration` (ns)."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
+            self.is_paused = True
             self.host.loop.call_later(duration / 1e9, self._resume_reading)
 
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed the connection, though data from it may still be unread."""
+        return self.transport is not None and peer_has_closed(self.transport.get_extra_info("socket"))
+
     def _resume_reading(self) -> None:
+        self.is_paused = False
         if self.transport is not None and not self.is_lost and not self.transport.is_closing():
             self.transport.resume_reading()
 
--- a/eiderstep/node/server.py
+++ b/eiderstep/node/server.py
@@ -315,6 +315,8 @@
         if delay:
             self.log("warning", "caller over message rate; reading paused", source=connection.source)
             connection.pause_reading(delay)
+        if connection.peer_has_closed():
+            self.calls.caller_left(now, connection.flow)
         for item in items:
             if isinstance(item, Message):
                 self.caller_limits.message_received(connection.flow)
@@ -395,6 +397,8 @@
         self._schedule_flush()
         silent = set(self.caller_limits.silent_connections(now))
         for connection in list(self.connections.values()):
+            if connection.is_paused and connection.peer_has_closed():
+                self.calls.caller_left(now, connection.flow)
             if connection.closing_at and now - connection.closing_at > CLOSE_TIMEOUT:
                 connection.abort()  # the peer has not read the remaining data
             elif connection.flow in silent or (
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -20,9 +20,10 @@
     TEST_REFERENCE,
 )
 from eiderstep.node.server import Node
-from tests.node_rig import set_up
+from tests.node_rig import CALL_A, CALL_B, release, set_up
 from tests.test_node_process import SETTINGS
 
+TCP_ESTABLISHED, TCP_CLOSE_WAIT = 1, 8  # states of a connection on Linux
 OFFICE = {"host": "s-one", "dial": "127.0.0.1:9", "block": 1, "health": "ready", "born_ms": 0}
 
 
@@ -32,10 +33,13 @@
     def __init__(self) -> None:
         self.written = b""
         self.unsent_size = 0
-        self.closing = self.aborted = False
+        self.closing = self.aborted = self.peer_closed = False
 
     def get_extra_info(self, name: str) -> Any:
-        return ("127.0.0.9", 5)
+        return ("127.0.0.9", 5) if name == "peername" else self
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        return bytes((TCP_CLOSE_WAIT if self.peer_closed else TCP_ESTABLISHED,))
 
     def write(self, data: bytes) -> None:
         self.written += data
@@ -192,3 +196,44 @@
         assert not transport.aborted
 
     run_with_node(scenario)
+
+
+def test_unread_set_ups_of_a_caller_that_has_closed_are_not_sent_on() -> None:
+    # Guards against attempts for callers that are gone: what they wrote was read and sent on afterwards.
+    def scenario(node: Node) -> None:
+        connection, transport = connect(node)
+        connection.data_received(set_up(CALL_A).encode())
+        transport.peer_closed = True
+        connection.data_received(set_up(CALL_B).encode())
+        assert not node.calls.calls  # the set-up that was open is given up, too
+        assert not node.calls.outgoing and not transport.written
+        assert node.calls.counters == {"set-ups of callers that left": 1}
+
+    run_with_node(scenario)
+
+
+def test_release_that_a_caller_wrote_before_it_closed_ends_its_call() -> None:
+    def scenario(node: Node) -> None:
+        link, _ = connect(node, "s-one")
+        connection, transport = connect(node)
+        connection.data_received(set_up(CALL_A, pairs="dest:1;width:1;via:-1;at:s-one").encode())
+        transport.peer_closed = True
+        connection.data_received(release(CALL_A).encode())
+        assert not node.calls.calls
+        assert link.flow in [flow for flow, _ in node.calls.outgoing]
+
+    run_with_node(scenario)
+
+
+def test_set_ups_of_a_caller_that_closes_while_its_reading_is_paused_are_withdrawn() -> None:
+    def scenario(node: Node) -> None:
+        connection, transport = connect(node)
+        connection.data_received(set_up(CALL_A).encode())
+        connection.is_paused = True
+        node._check_connections()
+        assert CALL_A in node.calls.calls
+        transport.peer_closed = True
+        node._check_connections()
+        assert not node.calls.calls
+
+    run_with_node(scenario)
