--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -20,6 +20,7 @@
 from eiderstep.isup.message import Message
 from eiderstep.node import mapping
 from eiderstep.node.caller_limits import WEIGHT_OPEN_SET_UP
+from eiderstep.node.ended_references import EndedReferences
 from eiderstep.node.memory_budget import DEFAULT_MEMORY_MB, MESSAGE_OVERHEAD, MemoryBudget
 from eiderstep.node.pending_releases import PendingReleases
 from eiderstep.node.records import Attempt, AttemptState, Call, CallState
@@ -27,6 +28,7 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
+OUTCOMES_THAT_MAY_HAVE_RUN = (io.Outcome.NO_ANSWER, io.Outcome.CUT, io.Outcome.CANCELLED)
 OPEN_STATES = (AttemptState.WAITING, AttemptState.SENT)
 MAX_REMEMBERED_ENDS = 4096  # releases of unknown calls, kept for an `at` report that arrives after one
 MAX_HOLDING_TIMES = 30  # in mean holding times; one call in 10^13 stands longer
@@ -69,6 +71,7 @@
         self.circuits_in_use: dict[str, int] = {}  # by office: last reported on one of the present links
         self.reported_calls = ReportedCalls(max_calls)
         self.pending_releases = PendingReleases()
+        self.ended_references = EndedReferences(settings.release_wait)
         self.unknown_call_ends: OrderedDict[str, int] = OrderedDict()  # causes of releases of unknown calls
         self.timers = Timers()
         self.refusals: Counter[int] = Counter()  # sent since `take_refusals`, by flow
@@ -156,6 +159,10 @@
                 return False
             self._refuse_set_up(flow, message.call, isup.TEMPORARY_FAILURE)
             return True
+        if not self.ended_references.allow(now, message.call, offer.transit):
+            self._count("ids used again")
+            self._refuse_set_up(flow, message.call, isup.TEMPORARY_FAILURE)
+            return True
         call = Call(message, offer, flow)
         size = MESSAGE_OVERHEAD + sum(len(value) for value in call.forwarded.values())
         if not self.memory.take(size):
@@ -507,6 +514,7 @@
         """End a standing call, and release it towards the sides that do not know of the end yet."""
         call.state = CallState.OVER
         del self.calls[call.reference]
+        self.ended_references.add(now, call.reference)
         self.reported_calls.remove(call.reference)
         if call.limit_timer is not None:
             call.limit_timer.cancel()
@@ -610,8 +618,10 @@
     ) -> None:  # fmt: skip
         """End an attempt that was not answered.  Every such attempt ends here."""
         self._remove_from_link(attempt)
-        attempt.state = AttemptState.OVER
         call = attempt.call
+        if attempt.state is AttemptState.SENT and outcome in OUTCOMES_THAT_MAY_HAVE_RUN:
+            self.ended_references.add(now, call.reference)
+        attempt.state = AttemptState.OVER
         if call.attempt is attempt:
             call.attempt = None
         call_over = call_over or call.state is not CallState.OFFERED
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -7,6 +7,7 @@
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
 from eiderstep.node.calls import CallTable
+from eiderstep.node.ended_references import MAX_REFERENCES, EndedReferences
 from tests.node_rig import (
     CALL_A,
     CALL_B,
@@ -438,6 +439,58 @@
     assert table.flush() == [(CALLER, answer())]
 
 
+@pytest.mark.parametrize("answered", [False, True])
+def test_reference_that_comes_again_after_its_caller_left_does_not_run_twice(answered: bool) -> None:
+    # Guards against a second run, also before the release wait of the first attempt is over.
+    table = CallTableRig()
+    if answered:
+        table.make_standing()
+        table.calls.handle_caller_message(table.now, CALLER, release())
+    else:
+        table.offer()
+        table.calls.caller_disconnected(table.now, CALLER)
+    table.flush()
+    table.take_events(io.CallOffered)
+    table.calls.caller_connected(OTHER_CALLER, "caller")
+    for _ in range(3):
+        table.now += SECOND
+        assert table.calls.handle_caller_message(table.now, OTHER_CALLER, set_up())
+        assert table.flush() == [(OTHER_CALLER, release(cause=41))]
+    assert table.take_events(io.CallOffered) == []
+
+
+def test_reference_of_a_call_in_transit_may_come_again_after_the_release_wait() -> None:
+    table = CallTableRig()
+    transit = set_up(pairs="dest:1;width:1;via:3;transit:1")
+    assert table.calls.handle_caller_message(table.now, CALLER, transit)
+    table.flush(io.Send(CALL_A, OFFICE, table.now + 900 * MS))
+    table.calls.handle_caller_message(table.now, CALLER, release())
+    table.flush()
+    table.now += 249 * MS
+    assert table.calls.handle_caller_message(table.now, CALLER, transit)
+    assert table.flush() == [(CALLER, release(cause=41))]
+    table.now += MS
+    assert table.calls.handle_caller_message(table.now, CALLER, transit)
+    assert table.flush() == []
+    assert CALL_A in table.calls.calls
+
+
+def test_reference_that_no_office_has_run_may_come_again() -> None:
+    table = CallTableRig()
+    table.offer()
+    table.calls.handle_office_message(table.now, LINK, release(cause=34, diagnostic="atb"))
+    table.flush(io.Refuse(CALL_A))
+    assert table.calls.handle_caller_message(table.now, CALLER, set_up())
+    assert CALL_A in table.calls.calls
+
+
+def test_number_of_remembered_references_is_bounded() -> None:
+    ended = EndedReferences(0)
+    for number in range(MAX_REFERENCES + 1):
+        ended.add(0, f"{number:016x}")
+    assert ended.allow(1, f"{0:016x}", False) and not ended.allow(1, f"{1:016x}", False)
+
+
 @pytest.mark.parametrize(
     "message",
     [
