Leave descriptors for the links and the change log

Callers get what links and a reserve of 32 leave, at most 0.6 and at least a third, and connections of the source with most go first.

--- a/eiderstep/node/caller_limits.py
+++ b/eiderstep/node/caller_limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 
 from eiderstep.trust.pace import LeakyBucket
@@ -10,7 +10,11 @@
 SECOND = 1_000_000_000
 MS = 1_000_000
 FIRST_MESSAGE_TIMEOUT = 2_500 * MS  # ns; a new connection has to send a complete message within this time
-CALLER_DESCRIPTOR_SHARE = 0.6  # share of the file descriptors available to callers' connections
+# Shares of the file descriptors for callers' connections: at most, and at least; the platform says that usual
+# callers hold no more than the latter.
+CALLER_DESCRIPTOR_SHARE, MIN_CALLER_DESCRIPTOR_SHARE = 0.6, 1 / 3
+# Descriptors for the process itself, the polls of the change log, and connections that are being closed.
+RESERVED_DESCRIPTORS = 32
 SOURCE_RATE = 1000  # messages/s and burst of one source; the busiest legitimate source stays far below it
 # Messages that a refused set-up counts for in addition: a caller that goes on at a high rate does not heed
 # the pauses that its refusals name.
@@ -39,36 +43,57 @@
     """Connections from callers, least recently used first, and the message rates of their sources."""
 
     def __init__(self, sockets: int) -> None:
-        self.max_connections = max(int(sockets * CALLER_DESCRIPTOR_SHARE), 16)
+        self.sockets = sockets
+        self.max_connections = 0
+        self.reserve_links(0)
         self.connections: OrderedDict[int, CallerConnection] = OrderedDict()
+        self.connections_by_source: Counter[str] = Counter()
         self.source_buckets: OrderedDict[str, LeakyBucket] = OrderedDict()
         self.total_bucket = LeakyBucket(TOTAL_RATE)
 
+    def reserve_links(self, links: int) -> None:
+        """Leave descriptors for so many links to offices."""
+        left = self.sockets - RESERVED_DESCRIPTORS - links
+        least = int(self.sockets * MIN_CALLER_DESCRIPTOR_SHARE)
+        self.max_connections = max(min(left, int(self.sockets * CALLER_DESCRIPTOR_SHARE)), least)
+
     def admit(self, now: int, flow: int, source: str, weight: Callable[[int], int]) -> int | None:
         """Register a new connection; return the flow of the connection to close for it, or None.
 
         `weight` of a flow: 0 if it carries no call, 1 if it has standing calls, 2 if it has an open set-up.
 
         Without this limit, hundreds of silent or permanently held connections would use up the file
-        descriptors, and no new connection to a caller, office or change log could be opened.  Connections
-        that have sent nothing are closed first, then the least recently used of the lowest weight.  One with
-        an open set-up is never closed; if all others have one, the new connection itself is returned.
+        descriptors, and no new connection to a caller, office or change log could be opened.
         """
         self.connections[flow] = CallerConnection(source, now)
+        self.connections_by_source[source] += 1
         if len(self.connections) <= self.max_connections:
             return None
-        silent = next(
-            (
-                other
-                for other, connection in self.connections.items()
-                if not connection.has_sent_message and other != flow
-            ),
-            None,
-        )
+        return self._choose_victim(flow, weight)
+
+    def surplus(self, weight: Callable[[int], int]) -> list[int]:
+        """Connections to close because more descriptors have been reserved for links."""
+        spare = [flow for flow in self.connections if weight(flow) < WEIGHT_OPEN_SET_UP]
+        return sorted(spare, key=self._sort_key(weight))[
+            : max(len(self.connections) - self.max_connections, 0)
+        ]
+
+    def _choose_victim(self, new_flow: int, weight: Callable[[int], int]) -> int:
+        """The connection to close for a new one.
+
+        Connections that have sent nothing are closed first, then those of the lowest weight, of them those of
+        the source with most connections, the least recently used first.  One with an open set-up is never
+        closed; if all others have one, the new connection itself is returned.
+        """
+        others = [flow for flow in self.connections if flow != new_flow]
+        silent = next((flow for flow in others if not self.connections[flow].has_sent_message), None)
         if silent is not None:
             return silent
-        lightest = min((other for other in self.connections if other != flow), key=weight, default=flow)
-        return lightest if weight(lightest) < WEIGHT_OPEN_SET_UP else flow
+        lightest = min(others, key=self._sort_key(weight), default=new_flow)
+        return lightest if weight(lightest) < WEIGHT_OPEN_SET_UP else new_flow
+
+    def _sort_key(self, weight: Callable[[int], int]) -> Callable[[int], tuple[int, int]]:
+        return lambda flow: (weight(flow), -self.connections_by_source[self.connections[flow].source])
 
     def message_received(self, flow: int) -> None:
         """Record a complete message on a connection."""
@@ -115,7 +140,12 @@
 
     def remove(self, flow: int) -> None:
         """Remove a closed connection; the rate of its source stays tracked."""
-        self.connections.pop(flow, None)
+        connection = self.connections.pop(flow, None)
+        if connection is None:
+            return
+        self.connections_by_source[connection.source] -= 1
+        if not self.connections_by_source[connection.source]:
+            del self.connections_by_source[connection.source]
 
     def silent_connections(self, now: int) -> list[int]:
         """Connections that have sent no complete message within FIRST_MESSAGE_TIMEOUT."""
--- a/eiderstep/node/server.py
+++ b/eiderstep/node/server.py
@@ -22,7 +22,7 @@
 from eiderstep.node.changelog import ChangeLogPoller, ChangeReader
 from eiderstep.node.config import Config, ConfigError
 from eiderstep.node.connections import LINK_READ_SIZE, Connection
-from eiderstep.node.links import Links, Peer
+from eiderstep.node.links import LINKS_PER_OFFICE, Links, Peer
 from eiderstep.node.list_validity import ListValidity
 from eiderstep.node.memory_budget import MemoryBudget
 from eiderstep.node.office_identity import LinkLoss
@@ -359,8 +359,15 @@
                 self.links.office_gone(entry.office)
         if kind is not io.ListKind.CHANGES:
             self.links.remove_unlisted({entry.office for entry in entries})
+        self._reserve_descriptors()
         self._schedule_flush()
 
+    def _reserve_descriptors(self) -> None:
+        """Leave enough descriptors for the links to all listed offices."""
+        self.caller_limits.reserve_links(LINKS_PER_OFFICE * len(self.links.peers))
+        for flow in self.caller_limits.surplus(self.calls.connection_weight):
+            self.connections[flow].close()
+
     def _mark_replaced(
         self, entries: tuple[io.OfficeEntry, ...], replaced: dict[str, ListedOffice]
     ) -> tuple[io.OfficeEntry, ...]:
--- a/tests/test_node_caller_limits.py
+++ b/tests/test_node_caller_limits.py
@@ -1,5 +1,7 @@
 """Limits on callers' connections and message rates."""
 
+import pytest
+
 from eiderstep.node.caller_limits import (
     FIRST_MESSAGE_TIMEOUT,
     MAX_READ_PAUSE,
@@ -27,6 +29,41 @@
     assert CallerLimits(256).max_connections == 153
 
 
+@pytest.mark.parametrize(
+    ("sockets", "links", "allowed"),
+    [(256, 94, 130), (256, 0, 153), (256, 500, 85), (1024, 94, 614), (1024, 500, 492), (64, 10, 22)],
+)
+def test_descriptors_are_left_for_links_and_the_change_log(sockets: int, links: int, allowed: int) -> None:
+    # Guards against callers that take the descriptors with which the change log has to be reached.
+    limits = CallerLimits(sockets)
+    limits.reserve_links(links)
+    assert limits.max_connections == allowed
+
+
+def test_connections_beyond_a_new_reservation_are_closed_but_none_with_an_open_set_up() -> None:
+    limits = CallerLimits(64)
+    weights = {flow: (2, 0, 1)[flow % 3] for flow in range(32)}
+    for flow in weights:
+        assert limits.admit(0, flow, "x", lambda other: weights[other]) is None
+    assert limits.surplus(lambda flow: weights[flow]) == []
+    limits.reserve_links(100)
+    surplus = limits.surplus(lambda flow: weights[flow])
+    assert surplus == [1, 4, 7, 10, 13, 16, 19, 22, 25, 28, 31]  # 21 are left
+
+
+def test_connections_of_the_source_with_most_are_evicted_first() -> None:
+    # Guards against closing the connections of usual callers while another source holds hundreds.
+    limits = CallerLimits(256)
+    limits.max_connections = 4
+    for flow, source in ((1, "usual"), (2, "many"), (3, "many"), (4, "many")):
+        limits.admit(0, flow, source, lambda flow: 0)
+        limits.message_received(flow)
+    assert limits.admit(0, 5, "other", lambda flow: 0) == 2
+    for flow in (2, 3, 4):
+        limits.remove(flow)
+    assert limits.connections_by_source == {"usual": 1, "other": 1}
+
+
 def test_oldest_silent_connection_is_evicted_first() -> None:
     limits = limits_at_capacity({1: 0, 2: 0})
     limits.max_connections = 4
