--- a/eiderstep/decide.py
+++ b/eiderstep/decide.py
@@ -34,6 +34,7 @@
 from eiderstep.policy.held_calls import CallsAhead, HeldCalls
 from eiderstep.policy.processors import ANSWER_HALF_LIFE, PENDING_ALLOWANCE, Office, OwnProcessor
 from eiderstep.policy.recent_refusals import CallIdentity, RecentRefusals
+from eiderstep.policy.tandem_backoff import TandemBackoffs
 from eiderstep.policy.trunk_group import Group
 
 SECOND = 1_000_000_000
@@ -54,10 +55,6 @@
 # Cold offices.
 COLD_DEFAULT_RATE = 1.0  # set-ups a second; least rate assumed of a warm office where none reports a rate
 
-# Backoff of a tandem for a destination to which it turned a call back.
-TANDEM_BACKOFF_START = 0.05  # mean holding times; doubles with each further call turned back
-TANDEM_BACKOFF_CAP = 8.0  # times the first backoff
-
 LIST_RETRY = 2 * SECOND  # after a failed request for the office list
 MIN_LIST_OUTAGE = SECOND // 4  # least time that an outdated list is expected to stay so
 MIN_RECHECK_INTERVAL = SECOND // 50  # between two estimates of when a route opens for a held call
@@ -133,9 +130,7 @@
         self.answers = DecayingCount(ANSWER_HALF_LIFE * self.time_constant)
         self.own_processor = OwnProcessor(self.time_constant)
         self.calls: dict[str, Call] = {}
-        # Keys (tandem, destination): end and length of the backoff; pairs over which a call has stood.
-        self.tandem_backoffs: dict[tuple[int, int], tuple[int, float]] = {}
-        self.proven_tandems: set[tuple[int, int]] = set()
+        self.tandem_backoffs = TandemBackoffs()
         self.recent_refusals = RecentRefusals()
         self.held_calls: HeldCalls[Call] = HeldCalls()  # by destination, or under UNLINKED_QUEUE
         self.timers: dict[int, tuple[int, Callable[[], object]]] = {}
@@ -435,9 +430,7 @@
                 else max(office.retry_at - self.now, 0)
             )
         circuits = call.width + ahead.circuits - group.free
-        blocked_for = (
-            max(self.tandem_backoffs.get((number, call.dest), (0, 0.0))[0], office.full_until) - self.now
-        )
+        blocked_for = max(self.tandem_backoffs.ends_at((number, call.dest)), office.full_until) - self.now
         if number != call.dest:
             circuits += math.ceil(group.reserve(self.now, self.widest, self.partial_mesh))
         elif circuits <= 0 and not self.is_admitted(call, number, False):
@@ -582,10 +575,12 @@
             group, pair = self.groups[number], (number, call.dest)
             if not group.free or number == call.dest or number in call.tried:
                 continue
-            backoff_end, backoff = self.tandem_backoffs.get(pair, (0, 0.0))
-            weight = group.tandem_successes / group.tandem_sends / (2 if backoff else 1)
-            score = self.rng.random() * weight + (pair in self.proven_tandems) + 2 * (number == call.hint)
-            if score <= best_score or self.now < backoff_end or (pools is not None and number not in pools):
+            weight = group.tandem_successes / group.tandem_sends
+            weight /= 2 if self.tandem_backoffs.has_turned_back(pair) else 1
+            proven, advised = self.tandem_backoffs.is_proven(pair), number == call.hint
+            score = self.rng.random() * weight + proven + 2 * advised
+            in_backoff = self.now < self.tandem_backoffs.ends_at(pair)
+            if score <= best_score or in_backoff or (pools is not None and number not in pools):
                 continue
             if group.free - call.width < group.reserve(self.now, self.widest, self.partial_mesh):
                 continue
@@ -731,9 +726,8 @@
         if office is not None and office.number == call.dest and not self.stall:
             office.record_response_time(self.now, event.elapsed)
         elif office is not None and office.number != call.dest:
-            self.tandem_backoffs.pop((office.number, call.dest), None)
+            self.tandem_backoffs.record_success((office.number, call.dest))
             self.groups[office.number].tandem_successes += 1
-            self.proven_tandems.add((office.number, call.dest))
         self.recent_refusals.forget(call.identity)
         if office is not None and call.faulted_office is office:
             office.resend_successes.add(self.now)
@@ -792,15 +786,8 @@
         if event.outcome in OUTCOMES_AWAITING_RELEASE:
             call.not_before = self.now + self.settings.release_wait
         if event.cause is io.Cause.TANDEM_REFUSED and office is not None:
-            # Without a backoff most calls over tandems tried blindly would be turned back.  The cost: a
-            # tandem whose groups soon have free circuits again is avoided for too long.
-            pair, first = (
-                (office.number, call.dest),
-                TANDEM_BACKOFF_START * self.classes[call.class_no].mean_hold,
-            )
-            backoff = max(2 * self.tandem_backoffs.get(pair, (0, 0.0))[1], first)
-            backoff = min(backoff, TANDEM_BACKOFF_CAP * first) if pair in self.proven_tandems else backoff
-            self.tandem_backoffs[pair] = (self.now + int(backoff), backoff)
+            mean_hold = self.classes[call.class_no].mean_hold
+            self.tandem_backoffs.record_refusal(self.now, (office.number, call.dest), mean_hold)
         at_destination = event.cause in CAUSES_AGAINST_RETRY and (
             office is None or office.number == call.dest
         )
