Move what offices report of their groups out of the call table

Three dictionaries of `CallTable` (last states, free circuits, circuits in use) and their rules are `node/group_states.py` now; behaviour is unchanged but that circuits in use are forgotten with an office that is gone, where nothing asked for them. The tests are the same but for one access.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -21,6 +21,7 @@
 from eiderstep.node import mapping
 from eiderstep.node.caller_limits import WEIGHT_OPEN_SET_UP
 from eiderstep.node.ended_references import EndedReferences
+from eiderstep.node.group_states import GroupStates
 from eiderstep.node.memory_budget import DEFAULT_MEMORY_MB, MESSAGE_OVERHEAD, MemoryBudget
 from eiderstep.node.office_identity import LinkLoss, OfficeIdentities
 from eiderstep.node.pending_releases import PendingReleases
@@ -65,12 +66,7 @@
         self.open_set_ups: dict[int, set[str]] = {}  # calls with an open set-up, by the caller's flow
         self.standing_by_office: dict[str, set[str]] = {}  # standing calls, by office
         self.standing_by_caller: dict[int, set[str]] = {}  # standing calls, by the caller's flow
-        # An office sends a group's state on each of its links.  A copy, if applied, would cost a decision and
-        # return circuits that the module has deducted for set-ups sent in between, so copies are ignored.
-        # The first state on a new link is always applied: set-ups lost with the old link seized no circuits.
-        self.group_states: dict[str, tuple[bytes, int]] = {}  # last state and its flow, by office
-        self.free_circuits: dict[str, int] = {}  # by office: last reported, less set-ups sent since
-        self.circuits_in_use: dict[str, int] = {}  # by office: last reported on one of the present links
+        self.group_states = GroupStates()
         self.reported_calls = ReportedCalls(max_calls)
         self.pending_releases = PendingReleases()
         self.identities = OfficeIdentities()
@@ -225,14 +221,15 @@
 
         None if they are not known, or if a call that was set up before the office started would be too long.
         """
-        if office not in self.circuits_in_use or now - self.offices.get(office, 0) > self.max_standing_time:
+        in_use = self.group_states.in_use(office)
+        if in_use is None or now - self.offices.get(office, 0) > self.max_standing_time:
             return None
         own = (
             self.calls[reference].width
             for reference in self.standing_by_office.get(office, ())
             if reference not in self.reported_calls
         )
-        return self.circuits_in_use[office] - sum(own)
+        return in_use - sum(own)
 
     def _handle_caller_release(self, now: int, message: Message) -> None:
         """Withdraw a set-up or end a standing call; the caller may use any of its connections."""
@@ -281,8 +278,7 @@
         for entry in entries:
             if entry.state is io.OfficeState.GONE:
                 self.offices.pop(entry.office, None)
-                self.free_circuits.pop(entry.office, None)
-                self.group_states.pop(entry.office, None)
+                self.group_states.forget(entry.office)
                 self.identities.forget(entry.office)
             else:
                 self.offices[entry.office] = entry.started
@@ -315,7 +311,7 @@
         Where another process may listen at the office's address, they wait on."""
         self.office_by_link[flow] = office
         self.attempts_by_link[flow] = {}
-        self.group_states.pop(office, None)
+        self.group_states.link_up(office)
         self.links_by_office.setdefault(office, []).append(flow)
         self._send_pending_releases(now, office, flow)
         self.identities.link_up(now, office)
@@ -349,7 +345,7 @@
             flows.remove(flow)
         if not flows:
             self.links_by_office.pop(office, None)
-            self.circuits_in_use.pop(office, None)
+            self.group_states.links_lost(office)
         if office in self.offices:
             self.identities.link_lost(now, office, loss, len(flows))
         outcome = io.Outcome.NO_ANSWER if loss in SILENT_LOSSES else io.Outcome.CUT
@@ -392,7 +388,7 @@
 
     def hand_over_links(self, office: str, successor: str) -> None:
         """Move the links of an office, and the set-ups sent on them, to the office that is really there."""
-        self.circuits_in_use.pop(office, None)
+        self.group_states.links_lost(office)
         self.identities.forget(office)
         for flow in self.links_by_office.pop(office, []):
             self.links_by_office.setdefault(successor, []).append(flow)
@@ -419,14 +415,13 @@
         kind, call = message.kind, self.calls.get(message.call)
         if kind == isup.GROUP_STATE:
             report_bytes = message.parameters.get(isup.LOAD_REPORT, b"")
-            last_report, last_flow = self.group_states.get(office, (b"", flow))
-            if report_bytes == last_report and last_flow != flow:
+            if self.group_states.is_copy(office, report_bytes, flow):
                 return True
             report = mapping.load_report(message)
             if report is None:
                 return False
-            self.group_states[office] = (report_bytes, flow)
-            self._update_free_circuits(office, report)
+            self.group_states.record_state(office, report_bytes, flow)
+            self.group_states.apply_report(office, report)
             self._check_identity(now, office, report)
             self.events.append(io.OfficeHeard(office, True, True, 0, report))
         elif kind == isup.ANM:
@@ -663,28 +658,15 @@
             call.attempt = None
         call_over = call_over or call.state is not CallState.OFFERED
         duration = now - attempt.sent_at
-        if attempt.flow < 0 and attempt.office in self.free_circuits:
-            self.free_circuits[attempt.office] += call.width
-            report = io.LoadReport(free=self.free_circuits[attempt.office])
-        self._update_free_circuits(attempt.office, report)
+        if attempt.flow < 0:
+            report = self.group_states.give_back(attempt.office, call.width) or report
+        self.group_states.apply_report(attempt.office, report)
         self.events.append(
             io.AttemptEnded(
                 call.reference, attempt.leg, attempt.office, outcome, cause, call_over, duration, 0, report
             )
         )
 
-    def _update_free_circuits(self, office: str, report: io.LoadReport | None) -> None:
-        """Record an office's free circuits, to be reported to the module again after a set-up was not sent.
-
-        The module deducts the circuits of a set-up when it sends it.  A set-up that never left changes
-        nothing at the office, so the office reports nothing, and the circuits would stay deducted until other
-        calls come or go.  The recorded count misses circuits that other call servers have seized meanwhile.
-        """
-        if report is not None and report.free is not None:
-            self.free_circuits[office] = report.free
-            if report.size is not None:
-                self.circuits_in_use[office] = report.size - report.free
-
     def begin_shutdown(self, ends_at: int) -> None:
         """Have every open set-up answered by the end of this process (ns)."""
         self.events.append(io.ShutdownBegun(ends_at))
@@ -717,7 +699,7 @@
         if call is None or call.state is not CallState.OFFERED or call.attempt is not None:
             # The call ended, or has an attempt, by the events that the module has just handled: send nothing.
             leg = call.attempt_count if call is not None else 0
-            report = io.LoadReport(free=self.free_circuits.get(action.office))
+            report = io.LoadReport(free=self.group_states.free(action.office))
             none, not_sent = io.Cause.NONE, io.Outcome.NOT_SENT
             self.events.append(
                 io.AttemptEnded(action.call, leg, action.office, not_sent, none, True, 0, 0, report)
@@ -726,8 +708,7 @@
         deadline = min(action.until or call.expires, call.expires)
         attempt = call.attempt = Attempt(call, call.attempt_count, action.office, now, deadline)
         call.attempt_count += 1
-        if action.office in self.free_circuits:
-            self.free_circuits[action.office] -= call.width
+        self.group_states.seize(action.office, call.width)
         if deadline <= now or action.office not in self.offices:
             outcome = io.Outcome.NO_ANSWER if deadline <= now else io.Outcome.UNREACHABLE
             self._end_attempt(now, attempt, outcome, io.Cause.NONE, None, False)
@@ -737,7 +718,7 @@
         if flows and not self.identities.in_doubt(action.office):
             self._send_set_up(now, attempt, min(flows, key=self._link_load))
             return
-        if action.office in self.circuits_in_use:
+        if self.group_states.in_use(action.office) is not None:
             # The state of its group did not show that the office is the one of before.
             self._end_attempt(now, attempt, io.Outcome.NOT_SENT, io.Cause.NONE, None, False)
             return
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -90,7 +90,7 @@
         state = Message(isup.GROUP_STATE, isup.NO_CALL, {isup.LOAD_REPORT: b"idle:3;circuits:4"})
         release = Message(isup.REL, "a" * 16, {isup.CAUSE: b"\x10"})
         connection.data_received(state.encode() + release.encode())
-        assert node.calls.free_circuits == {"s-one": 3}
+        assert node.calls.group_states.free("s-one") == 3
         assert list(node.calls.unknown_call_ends) == ["a" * 16]
 
     run_with_node(scenario)
