Move callers' connections and what they carry out of the call table

Four dictionaries of `CallTable` are `CallerConnections` now, with names for what was done to them; behaviour is unchanged and the tests are the same but for one access. Another test defends what `ReportedCalls` forgets: mutants of it had survived.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -9,7 +9,6 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Sequence
-from itertools import chain
 from typing import Any
 
 from eiderstep import interface as io
@@ -19,7 +18,7 @@
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
 from eiderstep.node import mapping
-from eiderstep.node.caller_limits import WEIGHT_OPEN_SET_UP
+from eiderstep.node.caller_connections import CallerConnections
 from eiderstep.node.ended_references import EndedReferences
 from eiderstep.node.group_states import GroupStates
 from eiderstep.node.memory_budget import DEFAULT_MEMORY_MB, MESSAGE_OVERHEAD, MemoryBudget
@@ -61,11 +60,8 @@
             set()
         )  # flows of links that have sent nothing since they were tested
         self.waiting_for_link: dict[str, list[Attempt]] = {}  # attempts without a link, by office
-        self.caller_sources: dict[int, str] = {}  # by flow
-        self.closed_by_caller: set[int] = set()  # flows whose caller has closed while data was unread
-        self.open_set_ups: dict[int, set[str]] = {}  # calls with an open set-up, by the caller's flow
+        self.callers = CallerConnections()
         self.standing_by_office: dict[str, set[str]] = {}  # standing calls, by office
-        self.standing_by_caller: dict[int, set[str]] = {}  # standing calls, by the caller's flow
         self.group_states = GroupStates()
         self.reported_calls = ReportedCalls(max_calls)
         self.pending_releases = PendingReleases()
@@ -84,14 +80,14 @@
 
     def caller_connected(self, flow: int, source: str) -> None:
         """Register a caller's connection.  Releases pending for its source follow its first message."""
-        self.caller_sources[flow], self.open_set_ups[flow] = source, set()
+        self.callers.connect(flow, source)
 
     def handle_caller_message(self, now: int, flow: int, message: Message, unread_time: int = 0) -> bool:
         """Handle a caller's message; return False if the connection has to be closed.
 
         `unread_time`: how long the message may have lain unread (ns).
         """
-        self._send_pending_releases(now, self.caller_sources[flow], flow)
+        self._send_pending_releases(now, self.callers.source(flow), flow)
         if message.kind == isup.IAM:
             return self._handle_set_up(now, flow, message, unread_time)
         if message.kind == isup.REL:
@@ -111,17 +107,14 @@
 
         It has given up its set-ups, read or not.  Releases, confirmations and reports are taken as before.
         """
-        if flow in self.caller_sources:
-            self.closed_by_caller.add(flow)
-        for reference in list(self.open_set_ups.get(flow, ())):
+        self.callers.mark_closed(flow)
+        for reference in self.callers.open_set_ups(flow):
             self._withdraw_set_up(now, self.calls[reference])
 
     def caller_disconnected(self, now: int, flow: int) -> None:
         """Withdraw the open set-ups of a lost caller connection; its standing calls continue."""
         self.caller_left(now, flow)
-        self.closed_by_caller.discard(flow)
-        self.caller_sources.pop(flow, None)
-        self.open_set_ups.pop(flow, None)
+        self.callers.disconnect(flow)
         self._resend_lost_releases(now, flow)
 
     def _handle_set_up(self, now: int, flow: int, message: Message, unread_time: int) -> bool:
@@ -137,7 +130,7 @@
         except mapping.InvalidSetUp as error:
             self._count("unfit set-ups")
             self._log("info", "invalid set-up refused", why=str(error), flow=flow)
-            if message.call in self.open_set_ups.get(flow, ()):
+            if self.callers.has_open_set_up(flow, message.call):
                 return False
             self._refuse_set_up(flow, message.call, isup.INVALID)
             return True
@@ -149,12 +142,12 @@
         if isinstance(offer, mapping.StandingReport):
             self._adopt_standing_call(now, flow, message, offer, existing)
             return True
-        if flow in self.closed_by_caller:
+        if self.callers.is_closed_by_caller(flow):
             self._count("set-ups of callers that left")
             return True
         if existing is not None:
             self._count("ids used twice")
-            if message.call in self.open_set_ups.get(flow, ()):
+            if self.callers.has_open_set_up(flow, message.call):
                 return False
             self._refuse_set_up(flow, message.call, isup.TEMPORARY_FAILURE)
             return True
@@ -170,7 +163,7 @@
             return True
         call.memory_used = size
         self.calls[message.call] = call
-        self.open_set_ups[flow].add(message.call)
+        self.callers.add_set_up(flow, message.call)
         self.events.append(offer)
         return True
 
@@ -183,10 +176,10 @@
         unknown calls are remembered, and the reported call is released at once.
         """
         if existing is not None:
-            if existing.state is CallState.STANDING and existing.flow not in self.caller_sources:
-                self._detach_from_caller(existing)
+            if existing.state is CallState.STANDING and existing.flow not in self.callers:
+                self.callers.detach(existing.flow, existing.reference)
                 self._attach_to_caller(existing, flow)
-                existing.source = self.caller_sources[flow]
+                existing.source = self.callers.source(flow)
             return
         office, end_cause = report.office, self.unknown_call_ends.pop(message.call, None)
         if end_cause is not None or office not in self.offices:
@@ -201,7 +194,7 @@
             if end_cause is not None:
                 self._release_to_office(now, office, message.call, end_cause)
             return
-        source = self.caller_sources[flow]
+        source = self.callers.source(flow)
         if not self.reported_calls.may_add(source):
             self._count("reported calls at their limit")
             self._refuse_set_up(flow, message.call, isup.EQUIPMENT_CONGESTION)
@@ -263,9 +256,7 @@
         call.state = CallState.OVER
         self._discard_parameters(call)
         self.calls.pop(call.reference, None)
-        open_set_ups = self.open_set_ups.get(call.flow)
-        if open_set_ups is not None:
-            open_set_ups.discard(call.reference)
+        self.callers.remove_set_up(call.flow, call.reference)
         if call.attempt is not None and call.attempt.state in OPEN_STATES:
             self._give_up_attempt(now, call.attempt, io.Outcome.CANCELLED, True)
 
@@ -481,7 +472,7 @@
             self.events.append(io.OfficeHeard(attempt.office, False, True, now - attempt.sent_at, report))
         answer = Message(isup.ANM, call.reference, {isup.DESCRIPTION: description})
         self.outgoing.append((call.flow, answer.encode()))
-        self.open_set_ups[call.flow].discard(call.reference)
+        self.callers.remove_set_up(call.flow, call.reference)
         self._start_standing(now, call, attempt.office, attempt.sent_at)
         return True
 
@@ -497,7 +488,7 @@
     # -- standing calls ------------------------------------------------------------------------------------
 
     def _start_standing(self, now: int, call: Call, office: str, placed_at: int) -> None:
-        call.state, call.office, call.source = CallState.STANDING, office, self.caller_sources[call.flow]
+        call.state, call.office, call.source = CallState.STANDING, office, self.callers.source(call.flow)
         call.placed_at = placed_at
         self._discard_parameters(call)
         self.standing_by_office.setdefault(office, set()).add(call.reference)
@@ -514,17 +505,11 @@
 
     def _attach_to_caller(self, call: Call, flow: int) -> None:
         call.flow = flow
-        self.standing_by_caller.setdefault(flow, set()).add(call.reference)
-
-    def _detach_from_caller(self, call: Call) -> None:
-        references = self.standing_by_caller.get(call.flow, set())
-        references.discard(call.reference)
-        if not references:
-            self.standing_by_caller.pop(call.flow, None)
+        self.callers.attach(flow, call.reference)
 
     def connection_weight(self, flow: int) -> int:
-        """Weight of a caller's connection: 2 with an open set-up, 1 with a standing call, else 0."""
-        return WEIGHT_OPEN_SET_UP if self.open_set_ups.get(flow) else int(flow in self.standing_by_caller)
+        """Weight of a caller's connection, by the calls that it carries."""
+        return self.callers.weight(flow)
 
     def discard_expired(self, now: int) -> None:
         """Drop pending releases past their time; to be called regularly."""
@@ -550,7 +535,7 @@
         self.reported_calls.remove(call.reference)
         if call.limit_timer is not None:
             call.limit_timer.cancel()
-        self._detach_from_caller(call)
+        self.callers.detach(call.flow, call.reference)
         references = self.standing_by_office[call.office]
         references.discard(call.reference)
         if not references:
@@ -579,16 +564,10 @@
         self.pending_releases.add(
             now, call.source, call.reference, isup.encode_release(call.reference, cause)
         )
-        flow = call.flow if call.flow in self.caller_sources else self._find_caller_connection(call.source)
+        flow = call.flow if call.flow in self.callers else self.callers.find(call.source)
         if flow is not None:
             self._send_pending_releases(now, call.source, flow)
 
-    def _find_caller_connection(self, source: str) -> int | None:
-        """The newest connection of a source, else the newest one with a standing call, or None."""
-        same_source = (flow for flow in reversed(self.caller_sources) if self.caller_sources[flow] == source)
-        with_calls = (flow for flow in reversed(self.caller_sources) if flow in self.standing_by_caller)
-        return next(chain(same_source, with_calls), None)
-
     def _send_pending_releases(self, now: int, destination: str, flow: int) -> None:
         for reference, data in self.pending_releases.take_pending(now, destination):
             self.outgoing.append((flow, data))
@@ -601,7 +580,7 @@
             other_flow = (
                 flows[-1]
                 if flows
-                else self._find_caller_connection(destination)
+                else self.callers.find(destination)
                 if destination not in self.offices
                 else None
             )
@@ -673,7 +652,7 @@
 
     def count_open_set_ups(self) -> int:
         """Number of set-ups without a final answer."""
-        return sum(len(references) for references in self.open_set_ups.values())
+        return self.callers.count_open_set_ups()
 
     # -- the module's actions ------------------------------------------------------------------------------
 
@@ -749,7 +728,7 @@
         call = self.calls.get(reference)
         if call is None or call.state is not CallState.OFFERED:
             return
-        if call.flow in self.caller_sources:
+        if call.flow in self.callers:
             self._refuse_set_up(call.flow, reference, cause, pause)
         self._close_set_up(now, call)
 
--- a/tests/node_rig.py
+++ b/tests/node_rig.py
@@ -130,4 +130,4 @@
             calls.events,
             calls.outgoing,
         )
-        return not (any(held) or any(calls.open_set_ups.values()) or any(calls.attempts_by_link.values()))
+        return not (any(held) or calls.count_open_set_ups() or any(calls.attempts_by_link.values()))
--- a/tests/test_node_reported_calls.py
+++ b/tests/test_node_reported_calls.py
@@ -5,6 +5,7 @@
 from eiderstep import interface as io
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
+from eiderstep.node.reported_calls import ReportedCalls
 from tests.node_rig import (
     CALLER,
     LINK,
@@ -151,6 +152,20 @@
     assert len(rig.table.calls.reported_calls) == 10
 
 
+def test_calls_that_ended_make_room_for_others_of_their_source() -> None:
+    reported = ReportedCalls(max_calls=16)  # four of a source
+    for number in range(4):
+        reported.add(f"{number}", OFFICE, "source", 1)
+    assert not reported.may_add("source")
+    reported.remove("0")
+    assert reported.may_add("source")
+    reported.add("4", OFFICE, "source", 1)
+    assert not reported.may_add("source")
+    for number in range(1, 5):
+        reported.remove(f"{number}")
+    assert (len(reported), reported.find_over(START, lambda office: 0)) == (0, [])
+
+
 def test_state_on_a_second_link_is_taken_too() -> None:
     rig = RestartRig()
     rig.table.calls.link_up(rig.table.now, OFFICE, OTHER_LINK)
