Do not trust a connection state that was not established at the start

The check for callers that have left reads the state that the system tells of a TCP connection. Where sockets only stand for connections, that state may be "closed" from the start, and every set-up would be dropped. It is used now only where a new connection was told as established or half closed. The new test failed before.

--- a/eiderstep/node/connections.py
+++ b/eiderstep/node/connections.py
@@ -15,21 +15,16 @@
 MAX_UNSENT = 256 * 1024  # bytes that may wait for a peer that does not read
 
 
-# States of a TCP connection that its peer has closed (tcp_states.h of Linux).
-TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
+# States of a TCP connection (tcp_states.h of Linux).
+TCP_ESTABLISHED, TCP_CLOSE, TCP_CLOSE_WAIT = 1, 7, 8
 
 
-def peer_has_closed(tcp_socket: Any) -> bool:
-    """Whether the peer has closed a connection, though data from it may still be unread.
-
-    False where the system does not tell.  The end of the stream is read only after all data, which may take
-    long for a connection that is read slowly.
-    """
+def tcp_state(tcp_socket: Any) -> int | None:
+    """The state of a TCP connection; None where the system does not tell."""
     try:
-        state = tcp_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        return int(tcp_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0])
     except (OSError, ValueError, AttributeError):  # ValueError: uvloop has closed the socket
-        return False
-    return state in (TCP_CLOSE, TCP_CLOSE_WAIT)
+        return None
 
 
 class ConnectionHost(Protocol):
@@ -66,6 +61,7 @@
         self.partial_size = 0  # bytes of an incomplete message that the host holds memory for
         self.closing_at = 0  # ns; when `close` was called, 0 before
         self.is_lost = self.is_paused = False
+        self.tells_state = False  # whether the system tells the state of a new connection as it is
         self.closed: asyncio.Future[None] | None = None  # only for links: done when the link is lost
 
     def connection_made(self, transport: Any) -> None:
@@ -77,6 +73,7 @@
             self.closed = self.host.loop.create_future()
             self.host.link_up(self)
             return
+        self.tells_state = self._tcp_state() in (TCP_ESTABLISHED, TCP_CLOSE_WAIT)
         peer_name = transport.get_extra_info("peername")
         self.source = str(peer_name[0]) if peer_name else "?"
         self.host.caller_connected(self)
@@ -128,8 +125,15 @@
             self.host.loop.call_later(duration / 1e9, self._resume_reading)
 
     def peer_has_closed(self) -> bool:
-        """Whether the peer has closed the connection, though data from it may still be unread."""
-        return self.transport is not None and peer_has_closed(self.transport.get_extra_info("socket"))
+        """Whether the peer has closed the connection, though data from it may still be unread.
+
+        The end of the stream is read only after all data, which may take long for a connection that is read
+        slowly.  False where the system does not tell.
+        """
+        return self.tells_state and self._tcp_state() in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
+    def _tcp_state(self) -> int | None:
+        return tcp_state(self.transport.get_extra_info("socket")) if self.transport is not None else None
 
     def _resume_reading(self) -> None:
         self.is_paused = False
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -10,7 +10,7 @@
 from eiderstep.isup import message as isup
 from eiderstep.isup.message import Message
 from eiderstep.node.config import check_config
-from eiderstep.node.connections import MAX_UNSENT, Connection
+from eiderstep.node.connections import MAX_UNSENT, TCP_CLOSE, TCP_CLOSE_WAIT, TCP_ESTABLISHED, Connection
 from eiderstep.node.links import (
     IDLE_TEST_DELAY,
     LINK_TEST_TIMEOUT,
@@ -23,7 +23,6 @@
 from tests.node_rig import CALL_A, CALL_B, release, set_up
 from tests.test_node_process import SETTINGS
 
-TCP_ESTABLISHED, TCP_CLOSE_WAIT = 1, 8  # states of a connection on Linux
 OFFICE = {"host": "s-one", "dial": "127.0.0.1:9", "block": 1, "health": "ready", "born_ms": 0}
 
 
@@ -33,13 +32,14 @@
     def __init__(self) -> None:
         self.written = b""
         self.unsent_size = 0
-        self.closing = self.aborted = self.peer_closed = False
+        self.closing = self.aborted = False
+        self.tcp_state = TCP_ESTABLISHED
 
     def get_extra_info(self, name: str) -> Any:
         return ("127.0.0.9", 5) if name == "peername" else self
 
     def getsockopt(self, level: int, option: int, size: int) -> bytes:
-        return bytes((TCP_CLOSE_WAIT if self.peer_closed else TCP_ESTABLISHED,))
+        return bytes((self.tcp_state,))
 
     def write(self, data: bytes) -> None:
         self.written += data
@@ -203,7 +203,7 @@
     def scenario(node: Node) -> None:
         connection, transport = connect(node)
         connection.data_received(set_up(CALL_A).encode())
-        transport.peer_closed = True
+        transport.tcp_state = TCP_CLOSE_WAIT
         connection.data_received(set_up(CALL_B).encode())
         assert not node.calls.calls  # the set-up that was open is given up, too
         assert not node.calls.outgoing and not transport.written
@@ -217,7 +217,7 @@
         link, _ = connect(node, "s-one")
         connection, transport = connect(node)
         connection.data_received(set_up(CALL_A, pairs="dest:1;width:1;via:-1;at:s-one").encode())
-        transport.peer_closed = True
+        transport.tcp_state = TCP_CLOSE_WAIT
         connection.data_received(release(CALL_A).encode())
         assert not node.calls.calls
         assert link.flow in [flow for flow, _ in node.calls.outgoing]
@@ -232,8 +232,19 @@
         connection.is_paused = True
         node._check_connections()
         assert CALL_A in node.calls.calls
-        transport.peer_closed = True
+        transport.tcp_state = TCP_CLOSE_WAIT
         node._check_connections()
         assert not node.calls.calls
 
     run_with_node(scenario)
+
+
+def test_set_ups_are_taken_where_the_system_does_not_tell_the_state_of_a_connection() -> None:
+    def scenario(node: Node) -> None:
+        connection, transport = Connection(node), FakeTransport()
+        transport.tcp_state = TCP_CLOSE  # as of a socket that only stands for a connection
+        connection.connection_made(transport)
+        connection.data_received(set_up(CALL_A).encode())
+        assert CALL_A in node.calls.calls
+
+    run_with_node(scenario)
