Pause between polls that a change log answers before their time

A change log that answers at once, events or not, was polled without pause; with a connection that is kept this costs more than before.

--- a/eiderstep/node/changelog.py
+++ b/eiderstep/node/changelog.py
@@ -128,6 +128,7 @@
         delay, client = RETRY_DELAYS[0], self._make_client()
         while True:
             wait = POLL_TIMEOUT if self.validity.age(self.host.now()) < ASK_AT_ONCE_AGE else 0.0
+            asked_at, last_sequence = self.loop.time(), self.reader.last_sequence
             poll = self.loop.create_task(self._poll(client, wait))
             self.polls[poll] = client
             await asyncio.wait({poll}, timeout=wait + ANSWER_MARGIN)
@@ -141,10 +142,15 @@
             del self.polls[poll]
             if poll.result():
                 delay = RETRY_DELAYS[0]
-                continue
+                if not self._was_hurried(asked_at, wait, last_sequence):
+                    continue
             await asyncio.sleep(delay)
             delay = min(2 * delay, RETRY_DELAYS[1])
 
+    def _was_hurried(self, asked_at: float, wait: float, last_sequence: int) -> bool:
+        """Whether an answer without new events came long before the end of its wait."""
+        return self.reader.last_sequence == last_sequence and self.loop.time() - asked_at < wait / 2
+
     def _make_client(self) -> HttpClient:
         timeouts = RequestTimeouts(ANSWER_MARGIN, LATE_POLL_TIMEOUT, LATE_POLL_TIMEOUT)
         return HttpClient(self.loop, self.address, timeouts)
--- a/eiderstep/standin/platform.py
+++ b/eiderstep/standin/platform.py
@@ -160,7 +160,7 @@
     """The change log: numbered events over HTTP long polls.
 
     `fault`: "cut" closes the connection in the middle of a response, "silent" never responds, "slow" sends
-    each response `SLOW_RESPONSE_DELAY` later.
+    each response `SLOW_RESPONSE_DELAY` later, "hurried" responds at once, events or not.
     """
 
     def __init__(self) -> None:
@@ -201,7 +201,7 @@
                 self.polled_since.append(since)
                 if self.fault == "silent":
                     await asyncio.sleep(3600)
-                if len(self.events) <= since:
+                if len(self.events) <= since and self.fault != "hurried":
                     self.event_added.clear()
                     with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(self.event_added.wait(), timeout)
