Forget an office that a complete list drops without naming it

What was kept of an office's group and identity was dropped only where the list named it as gone, so offices replaced in complete lists left entries for ever. The new test failed before for complete lists. Two tests more: a mutant of `OfficeIdentities.link_lost` had survived, and some of the counts of connections by source.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -264,15 +264,17 @@
 
     def update_offices(self, now: int, kind: io.ListKind, entries: tuple[io.OfficeEntry, ...]) -> None:
         """Apply a change of the list of offices."""
+        before = set(self.offices)
         if kind not in (io.ListKind.CHANGES, io.ListKind.FAILED):
             self.offices.clear()
         for entry in entries:
             if entry.state is io.OfficeState.GONE:
                 self.offices.pop(entry.office, None)
-                self.group_states.forget(entry.office)
-                self.identities.forget(entry.office)
             else:
                 self.offices[entry.office] = entry.started
+        for office in before - self.offices.keys():
+            self.group_states.forget(office)
+            self.identities.forget(office)
         self.events.append(io.OfficeList(kind, entries))
         self._end_waiting_set_ups(now, kind, entries)
         for entry in entries:
@@ -339,6 +341,8 @@
             self.group_states.links_lost(office)
         if office in self.offices:
             self.identities.link_lost(now, office, loss, len(flows))
+        elif not flows:
+            self.group_states.forget(office)  # it is gone, and reported until now
         outcome = io.Outcome.NO_ANSWER if loss in SILENT_LOSSES else io.Outcome.CUT
         for attempt in self.attempts_by_link.pop(flow, {}).values():
             if attempt.state is AttemptState.SENT:
--- a/tests/test_node_caller_limits.py
+++ b/tests/test_node_caller_limits.py
@@ -59,7 +59,9 @@
         limits.admit(0, flow, source, lambda flow: 0)
         limits.message_received(flow)
     assert limits.admit(0, 5, "other", lambda flow: 0) == 2
-    for flow in (2, 3, 4):
+    limits.remove(2)
+    assert limits.connections_by_source["many"] == 2
+    for flow in (2, 3, 4):  # one of them for the second time
         limits.remove(flow)
     assert limits.connections_by_source == {"usual": 1, "other": 1}
 
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -607,6 +607,19 @@
     assert (end.outcome, end.report.free) == (Outcome.UNREACHABLE, 7)
 
 
+@pytest.mark.parametrize("kind", [io.ListKind.CHANGES, io.ListKind.COMPLETE])
+def test_nothing_is_kept_of_an_office_that_the_list_drops(kind: io.ListKind) -> None:
+    table = CallTableRig()
+    state = Message(isup.GROUP_STATE, isup.NO_CALL, {isup.LOAD_REPORT: b"x0:7;x1:40"})
+    assert table.calls.handle_office_message(table.now, LINK, state)
+    table.calls.link_lost(table.now, LINK)
+    assert table.calls.identities.in_doubt(OFFICE) and table.calls.group_states.free(OFFICE) == 7
+    gone = io.OfficeEntry(OFFICE, 1, io.OfficeState.GONE)
+    other = io.OfficeEntry(OTHER_OFFICE, 2, io.OfficeState.UP)
+    table.calls.update_offices(table.now, kind, (gone,) if kind is io.ListKind.CHANGES else (other,))
+    assert not table.calls.identities.in_doubt(OFFICE) and table.calls.group_states.free(OFFICE) is None
+
+
 def test_restarted_office_loses_only_earlier_calls() -> None:
     table = CallTableRig()
     table.make_standing(CALL_A)
--- a/tests/test_office_identity.py
+++ b/tests/test_office_identity.py
@@ -92,6 +92,13 @@
     assert identities.list_heard(NOW + 100 * MS + NEWS_DELAY) == [OFFICE]
 
 
+def test_doubt_starts_anew_when_the_new_link_is_lost_too() -> None:
+    identities = in_doubt()
+    identities.link_up(NOW + SECOND, OFFICE)
+    identities.link_lost(NOW + 2 * SECOND, OFFICE, LinkLoss.SILENT, 0)
+    assert identities.list_heard(NOW + 60 * SECOND) == []
+
+
 def test_list_entry_confirms_and_the_end_of_an_office_forgets_it() -> None:
     assert in_doubt().confirm(OFFICE)
     assert not OfficeIdentities().confirm(OFFICE)
