Split how the call table takes a set-up into three short methods

What is refused, when the connection has to be closed instead, and what is offered to the module stood in one method of fifty lines. No change of behaviour; the tests are the same.

--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -118,22 +118,13 @@
         self._resend_lost_releases(now, flow)
 
     def _handle_set_up(self, now: int, flow: int, message: Message, unread_time: int) -> bool:
-        """Offer a set-up to the module, or refuse it; return False if the connection has to be closed.
-
-        A set-up that reuses the reference of an existing call would end that call's attempt or receive its
-        answer.  It is refused if the call belongs to another connection.  On the same connection the caller
-        would take the refusal for that of the first set-up, so the connection is closed.  The cost: a caller
-        that uses a reference twice by mistake loses the connection.
-        """
+        """Handle a set-up or a report of a standing call; return False if the connection has to be closed."""
         try:
             offer = self.setup_reader.parse(now - unread_time, message)
         except mapping.InvalidSetUp as error:
             self._count("unfit set-ups")
             self._log("info", "invalid set-up refused", why=str(error), flow=flow)
-            if self.callers.has_open_set_up(flow, message.call):
-                return False
-            self._refuse_set_up(flow, message.call, isup.INVALID)
-            return True
+            return self._refuse_unless_open(flow, message.call, isup.INVALID)
         existing = self.calls.get(message.call)
         if existing is None and len(self.calls) >= self.max_calls:
             self._count("calls at their limit")
@@ -147,25 +138,37 @@
             return True
         if existing is not None:
             self._count("ids used twice")
-            if self.callers.has_open_set_up(flow, message.call):
-                return False
-            self._refuse_set_up(flow, message.call, isup.TEMPORARY_FAILURE)
-            return True
+            return self._refuse_unless_open(flow, message.call, isup.TEMPORARY_FAILURE)
+        self._take_set_up(now, flow, message, offer)
+        return True
+
+    def _refuse_unless_open(self, flow: int, reference: str, cause: int) -> bool:
+        """Refuse a set-up; return False, and send nothing, if its reference is open on the same connection.
+
+        The caller would take the refusal for that of the first set-up, so the connection is closed.  The
+        cost: a caller that uses a reference twice by mistake loses the connection.
+        """
+        if self.callers.has_open_set_up(flow, reference):
+            return False
+        self._refuse_set_up(flow, reference, cause)
+        return True
+
+    def _take_set_up(self, now: int, flow: int, message: Message, offer: io.CallOffered) -> None:
+        """Offer a set-up with a reference that no call has to the module, or refuse it."""
         if not self.ended_references.allow(now, message.call, offer.transit):
             self._count("ids used again")
             self._refuse_set_up(flow, message.call, isup.TEMPORARY_FAILURE)
-            return True
+            return
         call = Call(message, offer, flow)
         size = MESSAGE_OVERHEAD + sum(len(value) for value in call.forwarded.values())
         if not self.memory.take(size):
             self._count("set-ups at their memory limit")
             self._refuse_set_up(flow, message.call, isup.EQUIPMENT_CONGESTION)
-            return True
+            return
         call.memory_used = size
         self.calls[message.call] = call
         self.callers.add_set_up(flow, message.call)
         self.events.append(offer)
-        return True
 
     def _adopt_standing_call(
         self, now: int, flow: int, message: Message, report: mapping.StandingReport, existing: Call | None
