--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -604,9 +604,7 @@
 
     def _send_set_up(self, now: int, attempt: Attempt, flow: int) -> None:
         call = attempt.call
-        self.pending_releases.withdraw(
-            attempt.office, call.reference, self.links_by_office.get(attempt.office, ())
-        )
+        self.pending_releases.withdraw(call.reference, self.links_by_office.get(attempt.office, ()))
         attempt.state, attempt.flow = AttemptState.SENT, flow
         self.attempts_by_link[flow][call.reference] = attempt
         wait_ms = max((attempt.deadline - now) // MS, 1)
--- a/eiderstep/node/pending_releases.py
+++ b/eiderstep/node/pending_releases.py
@@ -44,14 +44,11 @@
         if rows is not None and rows.pop(reference, None) is not None and not rows:
             del self.unconfirmed[flow]
 
-    def withdraw(self, destination: str, reference: str, flows: Iterable[int]) -> None:
-        """Forget the release of an earlier attempt, since the same call is set up at the destination again.
+    def withdraw(self, reference: str, flows: Iterable[int]) -> None:
+        """Forget the written release of an earlier attempt, since the same call is set up there again.
 
-        Sent once more after that, the release would end the new attempt.  `flows`: connections there.
+        Sent once more after that, the release would end the new attempt.  `flows`: connections to the office.
         """
-        rows = self.pending.get(destination)
-        if rows is not None and rows.pop(reference, None) is not None and not rows:
-            del self.pending[destination]
         for flow in flows:
             self.confirm(flow, reference)
 
