--- a/eiderstep/node/calls.py
+++ b/eiderstep/node/calls.py
@@ -208,7 +208,7 @@
 
     def cut_vanished_calls(self, now: int) -> None:
         """Cut reported calls that an office lost when it restarted; to be called several times a second."""
-        for reference in self.reported_calls.find_over(now, lambda office: self._circuits_left(now, office)):
+        for reference in self.reported_calls.find_ended(now, lambda office: self._circuits_left(now, office)):
             self._count("reported calls gone")
             self._cut_call(now, reference, isup.TEMPORARY_FAILURE)
 
--- a/eiderstep/node/reported_calls.py
+++ b/eiderstep/node/reported_calls.py
@@ -67,7 +67,7 @@
         if not self._count_by_source[source]:
             del self._count_by_source[source]
 
-    def find_over(self, now: int, circuits_left: Callable[[str], int | None]) -> list[str]:
+    def find_ended(self, now: int, circuits_left: Callable[[str], int | None]) -> list[str]:
         """Calls that do not stand any more; to be called several times a second.
 
         `circuits_left`: circuits in use in the group to an office, without those of calls that this process
--- a/tests/test_node_reported_calls.py
+++ b/tests/test_node_reported_calls.py
@@ -163,7 +163,7 @@
     assert not reported.may_add("source")
     for number in range(1, 5):
         reported.remove(f"{number}")
-    assert (len(reported), reported.find_over(START, lambda office: 0)) == (0, [])
+    assert (len(reported), reported.find_ended(START, lambda office: 0)) == (0, [])
 
 
 def test_state_on_a_second_link_is_taken_too() -> None:
